Lay out the parts, the build, the checks and the seam to the log service

Cause: the repository was empty; everything else needs a build, a linter and the lowest parts first. What stands: support (ids, clock, outcomes, hashing), kernel (loop, registry), wire codec, a log service in memory with lost answers and outages. Conclusion: parts can now be built side by side.

--- /dev/null
+++ b/cmake/AgatesparPackages.cmake
@@ -0,0 +1,10 @@
+# Finds the third-party libraries and wraps each in an imported target.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS log)
+find_package(docopt REQUIRED)
+find_package(nng REQUIRED)
+pkg_check_modules(GLIB REQUIRED IMPORTED_TARGET glib-2.0 gio-2.0)
+pkg_check_modules(SOUP REQUIRED IMPORTED_TARGET libsoup-3.0)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
--- /dev/null
+++ b/include/agatespar/kernel/glib_event_loop.h
@@ -0,0 +1,39 @@
+// The event loop of a running process, over the GLib main context.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+
+#include <memory>
+#include <unordered_map>
+
+namespace agatespar {
+
+/// Runs timers and file descriptor watches in the thread's default GLib main context.
+class glib_event_loop final : public event_loop {
+public:
+    glib_event_loop();
+    glib_event_loop(const glib_event_loop&) = delete;
+    glib_event_loop& operator=(const glib_event_loop&) = delete;
+    ~glib_event_loop() override;
+
+    const clock& time() const override { return clock_; }
+    timer_id schedule(duration delay, std::function<void()> callback) override;
+    void cancel(timer_id timer) override;
+
+    /// Calls back whenever a descriptor is readable, until the loop ends.
+    void watch_readable(int descriptor, std::function<void()> callback);
+    /// Calls back on a POSIX signal, on the loop's thread.
+    void watch_signal(int signal_number, std::function<void()> callback);
+
+    /// Runs until quit() is called.
+    void run();
+    void quit();
+
+private:
+    struct impl;
+
+    system_clock clock_;
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/kernel/manual_event_loop.h
@@ -0,0 +1,31 @@
+// An event loop whose time moves only when told, for tests and benchmarks.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+
+#include <map>
+#include <utility>
+
+namespace agatespar {
+
+/// Fires timers in order of their due time, then of their scheduling.
+class manual_event_loop final : public event_loop {
+public:
+    const clock& time() const override { return clock_; }
+    timer_id schedule(duration delay, std::function<void()> callback) override;
+    void cancel(timer_id timer) override;
+
+    /// Moves the time forward by a step and fires all timers that fall due on the way.
+    void advance(duration step);
+    /// Fires all timers that are due now.
+    void run_pending() { advance(duration::zero()); }
+
+private:
+    using due_key = std::pair<steady_time, std::uint64_t>;
+
+    manual_clock clock_;
+    std::uint64_t last_timer_{0};
+    std::map<due_key, std::function<void()>> timers_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/platform/memory_log.h
@@ -0,0 +1,61 @@
+// A log service in memory with faults on demand, for tests, benchmarks and the stand-in program.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/platform/log_service.h>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <random>
+
+namespace agatespar {
+
+/// The faults that a memory log can show.
+struct log_faults {
+    /// Every call fails without effect.
+    bool down{false};
+    /// Share of appends that take effect although their answer is an error.
+    double lost_answers{0.0};
+    /// Every answer takes this long.
+    std::chrono::milliseconds delay{0};
+};
+
+/// Keeps streams in memory and serves the log service's operations on an event loop.
+class memory_log {
+public:
+    memory_log(event_loop& loop, std::uint64_t seed) : loop_(loop), random_(seed) {}
+
+    /// @return the operations; they refer to this object, which must outlive them.
+    log_service service();
+
+    /// Appends at once, past all faults. @return the first payload's offset.
+    log_offset append_now(const append_request& request);
+    /// Reads at once, past all faults.
+    read_batch read_now(const read_request& request) const;
+    /// Drops all records of a stream before an offset.
+    void trim(const stream_name& name, log_offset first_retained);
+
+    void set_faults(const log_faults& faults) { faults_ = faults; }
+    const log_faults& faults() const { return faults_; }
+    /// @return the number of append calls that reached the log.
+    std::uint64_t append_calls() const { return append_calls_; }
+
+private:
+    struct stream {
+        log_offset first{1};
+        std::deque<std::string> records;
+    };
+
+    void append(const append_request& request, append_callback callback);
+    void read(read_request request, read_callback callback, std::chrono::milliseconds waited);
+
+    event_loop& loop_;
+    std::mt19937_64 random_;
+    log_faults faults_;
+    std::uint64_t append_calls_{0};
+    std::map<stream_name, stream> streams_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/support/ids.h
@@ -0,0 +1,92 @@
+// The identifiers of the system. Every name that an operator gives is qualified by its fleet.
+#pragma once
+
+#include <agatespar/support/strong_type.h>
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace agatespar {
+
+using fleet_name = strong<struct fleet_name_tag, std::string>;
+using client_account_name = strong<struct client_account_name_tag, std::string>;
+using model_name = strong<struct model_name_tag, std::string>;
+using version_name = strong<struct version_name_tag, std::string>;
+using service_name = strong<struct service_name_tag, std::string>;
+using zone_name = strong<struct zone_name_tag, std::string>;
+using server_name = strong<struct server_name_tag, std::string>;
+using region_name = strong<struct region_name_tag, std::string>;
+using stream_name = strong<struct stream_name_tag, std::string>;
+
+/// Identifies one caller's request for good, e.g. in traces, bills and explanations.
+using request_id = strong<struct request_id_tag, std::string>;
+/// The caller's key that makes repeats of a non-idempotent request recognisable.
+using idempotency_key = strong<struct idempotency_key_tag, std::string>;
+/// Identifies one attempt of a request on one backend server.
+using attempt_id = strong<struct attempt_id_tag, std::uint64_t>;
+/// Identifies one run of a VM's process; an address may be reused, a boot id is not.
+using boot_id = strong<struct boot_id_tag, std::uint64_t>;
+/// Counts accepted patches; zero is the empty configuration.
+using config_number = strong<struct config_number_tag, std::uint64_t>;
+/// A position in a stream of the log service; the first record has offset 1.
+using log_offset = strong<struct log_offset_tag, std::uint64_t>;
+/// Orders commands to a backend server; a server that checks it refuses an older one.
+using fencing_number = strong<struct fencing_number_tag, std::uint64_t>;
+
+/// A name that is only meaningful together with its fleet.
+template <class Name>
+struct qualified {
+    fleet_name fleet;
+    Name name;
+
+    friend auto operator<=>(const qualified&, const qualified&) = default;
+    friend bool operator==(const qualified&, const qualified&) = default;
+};
+
+using client_account_id = qualified<client_account_name>;
+using model_id = qualified<model_name>;
+using service_id = qualified<service_name>;
+using zone_id = qualified<zone_name>;
+using server_id = qualified<server_name>;
+
+/// One version of one fleet's model.
+struct version_id {
+    model_id model;
+    version_name version;
+
+    friend auto operator<=>(const version_id&, const version_id&) = default;
+    friend bool operator==(const version_id&, const version_id&) = default;
+};
+
+/// @return "fleet/name", for messages to people.
+template <class Name>
+std::string to_string(const qualified<Name>& id)
+{
+    return id.fleet.value() + "/" + id.name.value();
+}
+
+/// @return "fleet/model@version", for messages to people.
+inline std::string to_string(const version_id& id)
+{
+    return to_string(id.model) + "@" + id.version.value();
+}
+
+} // namespace agatespar
+
+template <class Name>
+struct std::hash<agatespar::qualified<Name>> {
+    std::size_t operator()(const agatespar::qualified<Name>& id) const
+    {
+        return std::hash<agatespar::fleet_name>{}(id.fleet) * 31 + std::hash<Name>{}(id.name);
+    }
+};
+
+template <>
+struct std::hash<agatespar::version_id> {
+    std::size_t operator()(const agatespar::version_id& id) const
+    {
+        return std::hash<agatespar::model_id>{}(id.model) * 31 + std::hash<agatespar::version_name>{}(id.version);
+    }
+};
--- /dev/null
+++ b/unittests/wire/codec_test.cpp
@@ -0,0 +1,46 @@
+// Tests of the message codec on good and hostile input.
+#include <agatespar/wire/codec.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace agatespar;
+
+namespace {
+
+struct sample {
+    boot_id sender;
+    server_id server;
+    std::vector<std::uint32_t> counts;
+    MSGPACK_DEFINE_ARRAY(sender, server, counts)
+};
+
+} // namespace
+
+SCENARIO("a message comes back as it was sent")
+{
+    const sample sent{boot_id{7}, {fleet_name{"f"}, server_name{"s"}}, {1, 2, 3}};
+    const std::string bytes = encode(sent);
+
+    WHEN("it is decoded whole")
+    {
+        const auto received = decode<sample>(bytes);
+        REQUIRE(received);
+        CHECK(received->sender == sent.sender);
+        CHECK(received->server == sent.server);
+        CHECK(received->counts == sent.counts);
+    }
+    WHEN("it is cut off anywhere")
+    {
+        for (std::size_t length = 0; length < bytes.size(); ++length) {
+            CHECK(!decode<sample>(std::string_view{bytes}.substr(0, length)));
+        }
+    }
+    WHEN("it is another type or nested too deeply")
+    {
+        CHECK(!decode<sample>(std::string(1, '\x2a')));
+        CHECK(!decode<sample>(std::string(100, '\x91')));
+    }
+}
