--- a/include/agatespar/kernel/glib_event_loop.h
+++ b/include/agatespar/kernel/glib_event_loop.h
@@ -8,6 +8,9 @@
 
 namespace agatespar {
 
+/// Names a file descriptor watch.
+using watch_id = strong<struct watch_id_tag, unsigned>;
+
 /// Runs timers and file descriptor watches in the thread's default GLib main context.
 class glib_event_loop final : public event_loop {
 public:
@@ -20,8 +23,9 @@
     timer_id schedule(duration delay, std::function<void()> callback) override;
     void cancel(timer_id timer) override;
 
-    /// Calls back whenever a descriptor is readable, until the loop ends.
-    void watch_readable(int descriptor, std::function<void()> callback);
+    /// Calls back whenever a descriptor is readable. @return a handle for unwatch().
+    watch_id watch_readable(int descriptor, std::function<void()> callback);
+    void unwatch(watch_id watch);
     /// Calls back on a POSIX signal, on the loop's thread.
     void watch_signal(int signal_number, std::function<void()> callback);
 
--- a/lib/kernel/glib_event_loop.cpp
+++ b/lib/kernel/glib_event_loop.cpp
@@ -82,12 +82,20 @@
     impl_->timers.erase(found);
 }
 
-void glib_event_loop::watch_readable(int descriptor, std::function<void()> callback)
+watch_id glib_event_loop::watch_readable(int descriptor, std::function<void()> callback)
 {
     auto entry = std::make_unique<impl::watch>();
     entry->callback = std::move(callback);
     entry->source = g_unix_fd_add(descriptor, G_IO_IN, &impl::fire_descriptor, entry.get());
+    const watch_id id{entry->source};
     impl_->watches.push_back(std::move(entry));
+    return id;
+}
+
+void glib_event_loop::unwatch(watch_id watch)
+{
+    g_source_remove(watch.value());
+    std::erase_if(impl_->watches, [watch](const auto& entry) { return entry->source == watch.value(); });
 }
 
 void glib_event_loop::watch_signal(int signal_number, std::function<void()> callback)
