--- /dev/null
+++ b/include/agatespar/platform/http_client.h
@@ -0,0 +1,66 @@
+// The seam to HTTP servers that all platform adapters share: bounded calls and streams.
+#pragma once
+
+#include <agatespar/support/outcome.h>
+
+#include <chrono>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agatespar {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+struct http_request {
+    std::string method{"GET"};
+    std::string url;
+    std::vector<http_header> headers;
+    /// Sent as application/json unless empty.
+    std::string body;
+    /// For send(): until the whole answer is read. For stream(): until the head, then between two pieces of the body.
+    std::chrono::milliseconds timeout{5000};
+    /// Sends on a connection of its own and never sends twice, as a non-idempotent request needs.
+    bool fresh_connection{false};
+};
+
+struct http_head {
+    int status{0};
+    std::vector<http_header> headers;
+
+    /// @return the value of a header, compared without case, or an empty view.
+    std::string_view find_header(std::string_view name) const;
+};
+
+struct http_response {
+    http_head head;
+    std::string body;
+};
+
+using http_callback = std::function<void(outcome<http_response>)>;
+
+/// The events of a streamed answer, in this order: one head, pieces, one end.
+struct http_stream_callbacks {
+    std::function<void(const http_head&)> on_head;
+    std::function<void(std::string_view)> on_bytes;
+    /// Called once, with the failure if the stream broke; a failure may come before the head.
+    std::function<void(outcome<void>)> on_end;
+};
+
+/// Stops a call; no callback comes afterwards. May be called more than once, also after the end.
+using cancel_handle = std::function<void()>;
+
+/// The operations of an HTTP client. Callbacks come on the loop's thread, never from within the call.
+///
+/// A failed call tells in error::ran whether it can have reached the server: `not_run` if no connection was made,
+/// otherwise `outcome_unknown`. Any HTTP status is an answer, not a failure.
+struct http_client {
+    std::function<void(http_request, http_callback)> send;
+    std::function<cancel_handle(http_request, http_stream_callbacks)> stream;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/telemetry/log.h
@@ -0,0 +1,58 @@
+// JSON log lines on standard error, one for each change of state. What happens often is counted instead.
+#pragma once
+
+#include <cstdint>
+#include <initializer_list>
+#include <ostream>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace agatespar {
+
+enum class log_severity {
+    debug,
+    info,
+    warning,
+    error,
+};
+
+using log_value = std::variant<bool, std::int64_t, std::uint64_t, double, std::string>;
+
+/// One key and value of a log line.
+struct log_field {
+    log_field(std::string_view field_name, bool field_value) : name(field_name), value(field_value) {}
+    log_field(std::string_view field_name, int field_value) : name(field_name), value(std::int64_t{field_value}) {}
+    log_field(std::string_view field_name, std::int64_t field_value) : name(field_name), value(field_value) {}
+    log_field(std::string_view field_name, std::uint64_t field_value) : name(field_name), value(field_value) {}
+    log_field(std::string_view field_name, double field_value) : name(field_name), value(field_value) {}
+    log_field(std::string_view field_name, std::string field_value) : name(field_name), value(std::move(field_value)) {}
+    log_field(std::string_view field_name, std::string_view field_value)
+        : name(field_name), value(std::string{field_value})
+    {
+    }
+    log_field(std::string_view field_name, const char* field_value) : name(field_name), value(std::string{field_value})
+    {
+    }
+
+    std::string name;
+    log_value value;
+};
+
+struct log_settings {
+    /// Stands in each line as "source", e.g. the VM's name.
+    std::string source;
+    log_severity least{log_severity::info};
+};
+
+/// Sends all log lines to a stream, in place of the sink before. @param target must outlive the logging.
+void start_logging(const log_settings& settings, std::ostream& target);
+/// Sends all log lines to standard error.
+void start_logging(const log_settings& settings);
+
+/// Writes one line: {"time","severity","source","event", fields...}. Does nothing before start_logging().
+/// @param event a fixed name in snake case, e.g. "server_cold". @param fields more detail; a field must not take the
+/// name of a standard key.
+void log_event(log_severity severity, std::string_view event, std::initializer_list<log_field> fields = {});
+
+} // namespace agatespar
