--- /dev/null
+++ b/include/agatespar/routing/indices.h
@@ -0,0 +1,32 @@
+// Dense indices that stand for names on the hot path of a routing decision.
+#pragma once
+
+#include <agatespar/support/strong_type.h>
+
+#include <bitset>
+#include <cstddef>
+#include <cstdint>
+
+namespace agatespar {
+
+/// The place of a server in routing_view::servers; stable as long as the view is not rebuilt.
+using server_index = strong<struct server_index_tag, std::uint16_t>;
+/// The place of a version in routing_view::versions.
+using version_index = strong<struct version_index_tag, std::uint8_t>;
+/// Groups the versions of one model, between which a roll-out's shares are split.
+using model_index = strong<struct model_index_tag, std::uint8_t>;
+/// The place of a zone in routing_view::zones.
+using zone_index = strong<struct zone_index_tag, std::uint8_t>;
+/// The place of a fleet in routing_view::weights.
+using fleet_index = strong<struct fleet_index_tag, std::uint8_t>;
+/// A request class of a fleet, e.g. look-up, question or long draft.
+using class_index = strong<struct class_index_tag, std::uint8_t>;
+
+inline constexpr std::size_t max_versions = 64;
+inline constexpr std::size_t max_models = 32;
+inline constexpr std::size_t max_classes = 16;
+
+/// A set of versions, by version_index.
+using version_set = std::bitset<max_versions>;
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/routing/rollout.cpp
@@ -0,0 +1,123 @@
+// The choice of one version for each model.
+#include <agatespar/routing/decision.h>
+#include <agatespar/routing/rollout.h>
+#include <agatespar/routing/view.h>
+#include <agatespar/support/hash.h>
+
+#include <array>
+#include <cmath>
+
+namespace agatespar {
+
+namespace {
+
+/// What is known of one model while its version is chosen.
+struct model_choice {
+    double total_share{0};
+    int chosen{-1};
+};
+
+using model_choices = std::array<model_choice, max_models>;
+
+} // namespace
+
+static void count(explanation* explained, filter_reason reason)
+{
+    if (explained)
+        ++explained->count_of(reason);
+}
+
+/// Follows the successors of withdrawn versions. @return the first live one, or none.
+static std::optional<version_index> live_successor(const routing_view& view, version_index version)
+{
+    for (std::size_t steps = 0; steps < view.versions.size(); ++steps) {
+        const version_view& each = view.versions[version.value()];
+        if (!each.withdrawn)
+            return version;
+        if (!each.successor)
+            return std::nullopt;
+        version = *each.successor;
+    }
+    return std::nullopt;
+}
+
+static void apply_pins(const routing_view& view, const route_request& request, model_choices& models,
+                       eligible_versions& result)
+{
+    for (const version_index pin : request.pins) {
+        if (pin.value() >= view.versions.size())
+            continue;
+        const std::optional<version_index> live = live_successor(view, pin);
+        if (!live || !request.allowed[live->value()])
+            continue;
+        models[view.versions[live->value()].model.value()].chosen = live->value();
+        if (*live != pin) {
+            result.moved_from_withdrawn = true;
+            result.moved_from = pin;
+        }
+    }
+}
+
+static bool open_to_new_sessions(const routing_view& view, const route_request& request, std::size_t version)
+{
+    const version_view& each = view.versions[version];
+    return request.allowed[version] && !each.withdrawn && !each.stopped_by_guard && each.share > 0;
+}
+
+/// Lets the session's hash fall into the shares of each model that has no pinned version.
+static void apply_shares(const routing_view& view, const route_request& request, model_choices& models)
+{
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        if (open_to_new_sessions(view, request, i))
+            models[view.versions[i].model.value()].total_share += view.versions[i].share;
+    }
+    std::array<double, max_models> passed{};
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        const std::size_t model = view.versions[i].model.value();
+        if (models[model].chosen >= 0 || !open_to_new_sessions(view, request, i))
+            continue;
+        const auto hash = combine_hashes(request.session_hash, model);
+        const double point = std::ldexp(static_cast<double>(hash >> 11U), -53) * models[model].total_share;
+        passed[model] += view.versions[i].share;
+        if (point < passed[model])
+            models[model].chosen = static_cast<int>(i);
+    }
+}
+
+static void explain_versions(const routing_view& view, const route_request& request, const eligible_versions& result,
+                             explanation* explained)
+{
+    if (!explained)
+        return;
+    explained->moved_from_withdrawn = result.moved_from_withdrawn;
+    explained->moved_from = result.moved_from;
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        if (result.versions[i])
+            continue;
+        if (!request.allowed[i])
+            count(explained, filter_reason::version_not_allowed);
+        else if (view.versions[i].withdrawn)
+            count(explained, filter_reason::version_withdrawn);
+        else if (view.versions[i].stopped_by_guard)
+            count(explained, filter_reason::version_stopped_by_guard);
+        else
+            count(explained, filter_reason::version_not_of_session);
+    }
+}
+
+eligible_versions choose_versions(const routing_view& view, const route_request& request, explanation* explained)
+{
+    eligible_versions result;
+    model_choices models{};
+    apply_pins(view, request, models, result);
+    apply_shares(view, request, models);
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        result.any_allowed = result.any_allowed || request.allowed[i];
+        if (models[view.versions[i].model.value()].chosen == static_cast<int>(i))
+            result.versions.set(i);
+    }
+    explain_versions(view, request, result, explained);
+    return result;
+}
+
+} // namespace agatespar
