--- /dev/null
+++ b/lib/membership/gossip_store.cpp
@@ -0,0 +1,130 @@
+// Merging and spreading of gossip items.
+#include <agatespar/membership/gossip_store.h>
+#include <agatespar/support/hash.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace agatespar {
+
+namespace {
+
+// Upper bound of an item's encoding beside its name and bytes.
+constexpr std::size_t item_overhead_bytes = 24;
+
+} // namespace
+
+bool is_lasting(gossip_kind kind)
+{
+    return kind != gossip_kind::server_table && kind != gossip_kind::version_counts &&
+           kind != gossip_kind::zone_summary;
+}
+
+static std::uint64_t item_digest(const gossip_item& item)
+{
+    return is_lasting(item.kind)
+               ? combine_hashes(stable_hash(item.name, static_cast<std::uint64_t>(item.kind)), item.version)
+               : 0;
+}
+
+static std::uint32_t sends_for(const gossip_item& item, std::size_t members)
+{
+    const auto log_members = static_cast<std::uint32_t>(std::bit_width(members));
+    return is_lasting(item.kind) ? 2 * log_members : std::max(2U, log_members / 2);
+}
+
+bool gossip_store::merge(const gossip_item& item, std::size_t members)
+{
+    const key item_key{item.kind, item.name};
+    const auto found = entries_.find(item_key);
+    if (found != entries_.end() && found->second.item.version >= item.version) {
+        return false;
+    }
+    if (item.bytes.size() + item.name.size() > limits_.max_item_bytes ||
+        (found == entries_.end() && entries_.size() >= limits_.max_items)) {
+        ++refused_;
+        return false;
+    }
+    entry& held = entries_[item_key];
+    if (found != entries_.end()) {
+        digest_ ^= item_digest(held.item);
+    }
+    if (held.sends_left == 0) {
+        outgoing_.push_back(item_key);
+    }
+    held.item = item;
+    held.sends_left = sends_for(item, members);
+    digest_ ^= item_digest(item);
+    return true;
+}
+
+std::vector<gossip_item> gossip_store::take(std::size_t max_bytes)
+{
+    std::vector<gossip_item> taken;
+    std::vector<key> again;
+    std::size_t used = 0;
+    auto next = outgoing_.begin();
+    for (; next != outgoing_.end(); ++next) {
+        const auto found = entries_.find(*next);
+        if (found == entries_.end()) {
+            continue;
+        }
+        entry& held = found->second;
+        const std::size_t size = item_overhead_bytes + held.item.name.size() + held.item.bytes.size();
+        if (used + size > max_bytes) {
+            break;
+        }
+        used += size;
+        taken.push_back(held.item);
+        if (--held.sends_left > 0) {
+            again.push_back(*next);
+        }
+    }
+    // What has just gone out queues up behind what has not.
+    outgoing_.erase(outgoing_.begin(), next);
+    outgoing_.insert(outgoing_.end(), again.begin(), again.end());
+    return taken;
+}
+
+void gossip_store::expire(std::uint32_t unix_seconds)
+{
+    for (auto next = entries_.begin(); next != entries_.end();) {
+        const gossip_item& item = next->second.item;
+        if (item.expires != 0 && item.expires < unix_seconds) {
+            digest_ ^= item_digest(item);
+            std::erase(outgoing_, next->first);
+            next = entries_.erase(next);
+        }
+        else {
+            ++next;
+        }
+    }
+}
+
+const gossip_item* gossip_store::find(gossip_kind kind, const std::string& name) const
+{
+    const auto found = entries_.find(key{kind, name});
+    return found == entries_.end() ? nullptr : &found->second.item;
+}
+
+std::vector<const gossip_item*> gossip_store::of_kind(gossip_kind kind) const
+{
+    std::vector<const gossip_item*> items;
+    for (auto next = entries_.lower_bound(key{kind, {}}); next != entries_.end() && next->first.first == kind; ++next) {
+        items.push_back(&next->second.item);
+    }
+    return items;
+}
+
+std::vector<gossip_item> gossip_store::lasting() const
+{
+    std::vector<gossip_item> items;
+    for (const auto& [item_key, held] : entries_) {
+        if (is_lasting(held.item.kind)) {
+            items.push_back(held.item);
+        }
+    }
+    return items;
+}
+
+} // namespace agatespar
