Fold patches from the log into numbered configurations

The log's order is the compare-and-set: the first patch against the current number is accepted, any other is a rejected conflict, so racing operators need no leader. A patch is applied whole and validated whole (unknown names, shares, successors, keys of two accounts), a malformed record is a verdict and never a crash, and a record of newer rules stops the fold at its offset.

--- /dev/null
+++ b/unittests/config/fold_test.cpp
@@ -0,0 +1,171 @@
+// Tests of the fold: compare-and-set by the log's order, validation, first verdicts, and snapshots.
+#include "sample_patches.h"
+
+#include <agatespar/config/fold.h>
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+
+static fold_result fold_text(fold_state& state, const std::string& payload)
+{
+    return fold(state, {log_offset{state.covers.value() + 1}, payload});
+}
+
+static fold_result fold_patch(fold_state& state, const patch& change)
+{
+    return fold_text(state, format_patch(change));
+}
+
+static fold_state sample_state()
+{
+    fold_state state;
+    REQUIRE(fold_patch(state, two_fleets_patch("p1")).verdict.kind == verdict_kind::accepted);
+    return state;
+}
+
+static const model_id sample_model{fleet_name{"kovacic"}, model_name{"assistant"}};
+static const version_id sample_version{sample_model, version_name{"1"}};
+
+SCENARIO("patches are accepted against the current number only")
+{
+    GIVEN("a configuration of two fleets whose names all clash")
+    {
+        fold_state state = sample_state();
+        CHECK(state.current->number == config_number{1});
+        THEN("a key leads to its own fleet's account")
+        {
+            const client_account_id* account = find_account_by_key_hash(*state.current, hash_key("key-c"));
+            REQUIRE(account != nullptr);
+            CHECK(account->fleet == fleet_name{"colombes"});
+            CHECK(find_account_by_key_hash(*state.current, hash_key("other")) == nullptr);
+        }
+        WHEN("two patches race on number 1")
+        {
+            const std::uint64_t hash = state.current->chain_hash;
+            CHECK(fold_patch(state, zone_patch("p2", 1, false)).verdict.kind == verdict_kind::accepted);
+            const fold_result second = fold_patch(state, zone_patch("p3", 1, true));
+            THEN("the first in the log's order wins and the other is told of the conflict")
+            {
+                CHECK(second.verdict.kind == verdict_kind::conflict);
+                CHECK(state.current->number == config_number{2});
+                CHECK(state.current->chain_hash != hash);
+                CHECK(!find_zone(*state.current, {fleet_name{"kovacic"}, zone_name{"a"}})->in_service);
+                CHECK(find_zone(*state.current, {fleet_name{"colombes"}, zone_name{"a"}})->in_service);
+            }
+            AND_WHEN("both are sent again")
+            {
+                const fold_result again = fold_patch(state, zone_patch("p2", 1, false));
+                const fold_result conflict = fold_patch(state, zone_patch("p3", 2, true));
+                THEN("each keeps its first verdict")
+                {
+                    CHECK(again.repeated);
+                    CHECK(again.verdict.number == config_number{2});
+                    CHECK(conflict.verdict.kind == verdict_kind::conflict);
+                    CHECK(state.current->number == config_number{2});
+                }
+            }
+        }
+    }
+}
+
+SCENARIO("a patch that would break a rule is rejected whole")
+{
+    fold_state state = sample_state();
+    client_account_settings thief;
+    thief.key_hashes = {hash_key("key-c")};
+    client_account_settings stranger;
+    stranger.models[model_name{"unknown"}] = {};
+    service_settings wrong;
+    wrong.models = {model_name{"unknown"}};
+    const fleet_name fleet{"kovacic"};
+    const auto [operation, reason] = GENERATE_COPY(table<patch_operation, std::string>({
+        {put_account{{fleet, client_account_name{"x"}}, thief}, "a key belongs to account colombes/main already"},
+        {put_account{{fleet, client_account_name{"x"}}, stranger}, "the model unknown is unknown"},
+        {put_service{{fleet, service_name{"x"}}, wrong}, "the model unknown is unknown"},
+        {put_zone{{fleet_name{"none"}, zone_name{"x"}}, {region_name{"r"}, true}}, "fleet none is unknown"},
+        {set_shares{sample_model, {{version_name{"1"}, 0.5}, {version_name{"2"}, 0.4}}}, "the shares add up to 0.9"},
+        {set_shares{sample_model, {{version_name{"9"}, 1.0}}}, "version kovacic/assistant@9 is unknown"},
+        {withdraw_version{sample_version, version_name{"9"}}, "has to be a serving version"},
+        {remove_version{sample_version}, "has to be withdrawn before"},
+        {remove_model{sample_model}, "the model assistant is unknown"},
+        {remove_fleet{fleet}, "is not empty"},
+    }));
+    const fold_result result =
+        fold_patch(state, make_patch("p2", 1, {set_zone_in_service{{fleet, zone_name{"a"}}, false}, operation}));
+    CHECK(result.verdict.kind == verdict_kind::invalid);
+    CHECK_THAT(result.verdict.reason, Catch::Contains(reason));
+    CHECK(state.current->number == config_number{1});
+    CHECK(find_zone(*state.current, {fleet, zone_name{"a"}})->in_service);
+}
+
+SCENARIO("a withdrawn version's share and sessions go on")
+{
+    fold_state state = sample_state();
+    GIVEN("a withdrawal without a successor")
+    {
+        REQUIRE(fold_patch(state, make_patch("p2", 1, {withdraw_version{sample_version, {}}})).verdict.kind ==
+                verdict_kind::accepted);
+        const model_settings& model = *find_model(*state.current, sample_model);
+        CHECK(model.versions.at(version_name{"2"}).share == Approx(1.0));
+        CHECK(!resolve_version(model, version_name{"1"}));
+        THEN("the last version can't be withdrawn")
+        {
+            const version_id last{sample_model, version_name{"2"}};
+            CHECK(fold_patch(state, make_patch("p3", 2, {withdraw_version{last, {}}})).verdict.kind ==
+                  verdict_kind::invalid);
+        }
+    }
+    GIVEN("a chain of successors")
+    {
+        const version_settings next{version_state::serving, {}, 0.0, cost_units{1.0}};
+        REQUIRE(fold_patch(state, make_patch("p2", 1,
+                                             {withdraw_version{sample_version, version_name{"2"}},
+                                              put_version{{sample_model, version_name{"3"}}, next},
+                                              withdraw_version{{sample_model, version_name{"2"}}, version_name{"3"}}}))
+                    .verdict.kind == verdict_kind::accepted);
+        CHECK(resolve_version(*find_model(*state.current, sample_model), version_name{"1"}) == version_name{"3"});
+    }
+}
+
+SCENARIO("malformed records are counted and records of newer rules stop the fold")
+{
+    fold_state state = sample_state();
+    CHECK(fold_text(state, "garbage").verdict.kind == verdict_kind::malformed);
+    CHECK(fold_text(state, std::string(300'000, '[')).verdict.kind == verdict_kind::malformed);
+    CHECK(state.covers == log_offset{3});
+    const fold_result newer = fold_text(state, R"({"rules":2,"operations":[{"op":"unheard_of"}]})");
+    CHECK(newer.verdict.kind == verdict_kind::too_new);
+    CHECK(state.covers == log_offset{3});
+    CHECK(state.stopped_by_rules == 2);
+    CHECK(state.current->number == config_number{1});
+}
+
+SCENARIO("a snapshot carries the whole state of the fold")
+{
+    fold_state state = sample_state();
+    fold_patch(state, zone_patch("p2", 1, false));
+    fold_patch(state, zone_patch("p3", 1, false));
+    const std::string text = format_snapshot(state);
+    outcome<fold_state> read = parse_snapshot(text);
+    REQUIRE(read);
+    CHECK(format_snapshot(*read) == text);
+    CHECK(read->current->fleets == state.current->fleets);
+    CHECK(read->current->chain_hash == state.current->chain_hash);
+    CHECK(fold_patch(*read, zone_patch("p3", 2, true)).verdict.kind == verdict_kind::conflict);
+    CHECK(find_account_by_key_hash(*read->current, hash_key("key-k")) != nullptr);
+    CHECK(parse_snapshot(R"({"rules":9})").error().code == error_code::conflict);
+    CHECK(parse_snapshot("{}").error().code == error_code::malformed);
+}
+
+SCENARIO("the memory of verdicts is bounded, and what it forgot can't be applied twice")
+{
+    fold_state state = sample_state();
+    for (std::uint64_t i = 1; i <= max_remembered_verdicts; ++i) {
+        fold_patch(state, zone_patch("z" + std::to_string(i), i, i % 2 == 0));
+    }
+    CHECK(state.verdicts.size() == max_remembered_verdicts);
+    const config_number before = state.current->number;
+    CHECK(fold_patch(state, two_fleets_patch("p1")).verdict.kind == verdict_kind::conflict);
+    CHECK(state.current->number == before);
+}
