Add the ledger of non-idempotent calls: claims, owners, dispatch guard

A non-idempotent request may run at most once although VMs die, pause and disagree on who owns a ledger partition. The log's order alone decides: the first claim of a key holds it, owners only batch appends and read them back. A refusal says not_run only for a first submission or a closed key, since an earlier submission of the same key may have run elsewhere.

--- /dev/null
+++ b/include/agatespar/ledger/usage_fold.h
@@ -0,0 +1,73 @@
+// Folds the usage stream into one bill a request and totals a client account.
+#pragma once
+
+#include <agatespar/ledger/usage_record.h>
+#include <agatespar/platform/log_service.h>
+#include <agatespar/support/ids.h>
+#include <agatespar/support/units.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+namespace agatespar {
+
+/// What one client account is billed.
+struct account_usage {
+    std::uint64_t requests{0};
+    std::uint64_t attempts{0};
+    token_count prompt_tokens;
+    token_count answer_tokens;
+    cost_units cost;
+    MSGPACK_DEFINE_ARRAY(requests, attempts, prompt_tokens, answer_tokens, cost)
+};
+
+struct usage_totals {
+    std::map<client_account_id, account_usage> accounts;
+    std::uint64_t duplicates{0};
+    std::uint64_t malformed{0};
+    /// Records that the log trimmed before any fold read them; zero while the totals are whole.
+    std::uint64_t lost_to_trimming{0};
+    MSGPACK_DEFINE_ARRAY(accounts, duplicates, malformed, lost_to_trimming)
+};
+
+/// The numbers seen from one origin: all up to a bound, and some beyond it.
+struct seen_numbers {
+    std::uint64_t all_up_to{0};
+    std::vector<std::uint64_t> beyond;
+    MSGPACK_DEFINE_ARRAY(all_up_to, beyond)
+};
+
+/// A prefix of the usage stream, folded. Equal prefixes give equal states.
+struct usage_fold_state {
+    /// The offset of the next record to fold.
+    log_offset next{1};
+    usage_totals totals;
+    /// Tells repeats of one origin's records for good, in little memory as numbers have no gaps.
+    std::map<boot_id, seen_numbers> origins;
+    /// Hashes of the latest claimed requests, oldest first, as two VMs may bill the same one.
+    std::deque<std::uint64_t> claimed_requests;
+    std::unordered_set<std::uint64_t> claimed_index;
+};
+
+/// Claimed requests whose ids are remembered: more than the ledger's window holds at the peak rate.
+inline constexpr std::size_t max_claimed_requests = 400'000;
+
+/// Folds one record. @return whether it was billed, false for a repeat.
+bool fold_usage_record(usage_fold_state& state, const usage_record& record,
+                       std::size_t claimed_limit = max_claimed_requests);
+/// Folds the record at state.next.
+void fold_usage_payload(usage_fold_state& state, std::string_view payload);
+
+/// @return the totals of records from the start of the usage stream.
+usage_totals fold_usage(const std::vector<log_record>& records);
+
+/// @return the state as a payload for the totals stream.
+std::string encode_usage_rollup(const usage_fold_state& state);
+/// @param payload untrusted input. @return the state, or malformed.
+outcome<usage_fold_state> decode_usage_rollup(std::string_view payload);
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/ledger/claim_client.cpp
@@ -0,0 +1,233 @@
+// Asks the owners of ledger partitions, and turns their verdicts into what a caller may be told.
+#include <agatespar/ledger/claim_client.h>
+#include <agatespar/ledger/key_age.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+static constexpr std::chrono::milliseconds repeat_hint{1000};
+
+struct claim_client::ask {
+    ledger_partition partition;
+    ledger_request request;
+    unsigned attempt{0};
+    steady_time give_up;
+    timer_id timer;
+    std::function<void(const ledger_answer&)> done;
+};
+
+static error refusal(error_code code, std::string message, run_state ran)
+{
+    return error{code, std::move(message), ran, repeat_hint};
+}
+
+// A refusal without a verdict proves only that this submission did not run, not that no earlier one did.
+static run_state unproven(submission sent)
+{
+    return sent == submission::first ? run_state::not_run : run_state::outcome_unknown;
+}
+
+static bool must_be_recorded(ledger_operation operation)
+{
+    return operation == ledger_operation::abandon || operation == ledger_operation::record_outcome;
+}
+
+claim_client::claim_client(event_loop& loop, boot_id self, ledger_settings settings, send_function send)
+    : loop_(loop), self_(self), settings_(settings), send_(std::move(send))
+{
+}
+
+claim_client::~claim_client()
+{
+    for (const auto& [ticket, entry] : asks_) {
+        loop_.cancel(entry.timer);
+    }
+}
+
+void claim_client::claim(const claim_order& order, claim_callback callback)
+{
+    const wall_time now = loop_.time().wall_now();
+    if (const auto age = check_key_age(order.key_time, now, settings_); !age) {
+        loop_.post([callback = std::move(callback), problem = age.error()] { callback(tl::make_unexpected(problem)); });
+        return;
+    }
+    claim_record record;
+    record.key = order.key;
+    record.id = {self_, last_ticket_ + 1};
+    record.request = order.request;
+    record.fingerprint = order.fingerprint;
+    record.key_time = order.key_time;
+    record.written = now;
+    record.expiry = now + settings_.claim_lifetime;
+    const steady_time deadline = loop_.time().now() + settings_.claim_lifetime;
+    start_ask(ledger_operation::claim, record, order.patience,
+              [this, order, record, deadline, callback = std::move(callback)](const ledger_answer& answer) {
+                  finish_claim(order, record, deadline, answer, callback);
+              });
+}
+
+static error refusal_for(ledger_verdict verdict, submission sent)
+{
+    switch (verdict) {
+    case ledger_verdict::running:
+        return refusal(error_code::conflict, "another submission of this key holds it", run_state::outcome_unknown);
+    case ledger_verdict::cancelled:
+        return error{error_code::conflict, "the key was closed before it ran", run_state::not_run, std::nullopt};
+    case ledger_verdict::key_reused:
+        return error{error_code::invalid_argument, "the key belongs to a request of another content",
+                     run_state::not_run, std::nullopt};
+    case ledger_verdict::outcome_unknown:
+    case ledger_verdict::too_old:
+        return error{error_code::outcome_unknown, "the key was claimed, and its outcome is not known",
+                     run_state::outcome_unknown, std::nullopt};
+    default:
+        return refusal(error_code::unavailable, "the ledger gave no verdict; the same key may be sent again",
+                       unproven(sent));
+    }
+}
+
+void claim_client::finish_claim(const claim_order& order, const claim_record& record, steady_time deadline,
+                                const ledger_answer& answer, const claim_callback& callback)
+{
+    if (answer.verdict == ledger_verdict::granted) {
+        ++counters_.granted;
+        dispatchable_.insert(record.id.serial);
+        granted_claim claim{order.key,    record.id,     order.request, order.key_time,
+                            answer.fence, record.expiry, deadline,      order.sent == submission::first};
+        callback(claim_result{std::move(claim)});
+        return;
+    }
+    if (answer.verdict == ledger_verdict::finished) {
+        ++counters_.repeats_answered;
+        callback(claim_result{answer.result});
+        return;
+    }
+    if (answer.verdict == ledger_verdict::refused) {
+        abandon_claim(order.key, record.id, order.key_time);
+    }
+    error problem = refusal_for(answer.verdict, order.sent);
+    ++(problem.ran == run_state::not_run ? counters_.refused : counters_.outcome_unknown);
+    callback(tl::make_unexpected(std::move(problem)));
+}
+
+outcome<void> claim_client::begin_dispatch(const granted_claim& claim)
+{
+    const clock& time = loop_.time();
+    if (dispatchable_.erase(claim.id.serial) == 0) {
+        return tl::make_unexpected(
+            refusal(error_code::internal, "the claim was dispatched or given up before", run_state::outcome_unknown));
+    }
+    if (may_dispatch(claim, time.wall_now(), time.now(), settings_.clock_allowance)) {
+        return {};
+    }
+    ++counters_.expired_before_dispatch;
+    abandon(claim);
+    return tl::make_unexpected(
+        refusal(error_code::expired, "the claim expired before the request could start; the same key may be sent again",
+                unproven(claim.first_submission ? submission::first : submission::possibly_repeated)));
+}
+
+void claim_client::abandon(const granted_claim& claim)
+{
+    dispatchable_.erase(claim.id.serial);
+    abandon_claim(claim.key, claim.id, claim.key_time);
+}
+
+void claim_client::abandon_claim(const ledger_key& key, claim_id id, wall_time key_time)
+{
+    start_ask(ledger_operation::abandon, abandoned_record{key, id, key_time}, settings_.max_run_time,
+              [](const ledger_answer&) {});
+}
+
+void claim_client::record_outcome(const granted_claim& claim, stored_outcome result)
+{
+    if (result.body.size() > max_stored_body_bytes) {
+        result.body.clear();
+        result.body_omitted = true;
+    }
+    start_ask(ledger_operation::record_outcome, outcome_record{claim.key, claim.id, std::move(result)},
+              settings_.max_run_time, [](const ledger_answer&) {});
+}
+
+void claim_client::look_up(const ledger_key& key, wall_time key_time, std::chrono::milliseconds patience,
+                           key_report_callback callback)
+{
+    start_ask(ledger_operation::look_up, cancel_record{key, key_time}, patience,
+              [this, callback = std::move(callback)](const ledger_answer& answer) { report_key(answer, callback); });
+}
+
+void claim_client::cancel(const ledger_key& key, wall_time key_time, std::chrono::milliseconds patience,
+                          key_report_callback callback)
+{
+    start_ask(ledger_operation::cancel, cancel_record{key, key_time}, patience,
+              [this, callback = std::move(callback)](const ledger_answer& answer) { report_key(answer, callback); });
+}
+
+void claim_client::report_key(const ledger_answer& answer, const key_report_callback& callback)
+{
+    if (answer.verdict != ledger_verdict::refused) {
+        callback(key_report{answer.verdict, answer.result});
+        return;
+    }
+    callback(tl::make_unexpected(
+        refusal(error_code::unavailable, "the ledger cannot be read now", run_state::outcome_unknown)));
+}
+
+void claim_client::start_ask(ledger_operation operation, const ledger_record& record,
+                             std::chrono::milliseconds patience, std::function<void(const ledger_answer&)> done)
+{
+    const std::uint64_t ticket = ++last_ticket_;
+    ask entry;
+    entry.partition = partition_of(key_of(record));
+    entry.request.operation = operation;
+    entry.request.ticket = ticket;
+    entry.request.record = encode_record(record);
+    entry.give_up = loop_.time().now() + patience;
+    entry.done = std::move(done);
+    entry.timer = loop_.post([this, ticket] { send_ask(ticket); });
+    asks_.emplace(ticket, std::move(entry));
+}
+
+void claim_client::send_ask(std::uint64_t ticket)
+{
+    ask& entry = asks_.at(ticket);
+    const duration left = entry.give_up - loop_.time().now();
+    if (left <= duration::zero()) {
+        finish_ask(ticket, ledger_answer{ticket, ledger_verdict::refused, {}, {}});
+        return;
+    }
+    ++counters_.asks;
+    entry.request.patience_ms =
+        static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+    entry.timer = loop_.schedule(std::min<duration>(left, settings_.ask_timeout), [this, ticket] { send_ask(ticket); });
+    // The answer may come from within the call and end the ask, so the call works on copies.
+    const ledger_request request = entry.request;
+    send_(entry.partition, entry.attempt++, request);
+}
+
+void claim_client::on_answer(const ledger_answer& answer)
+{
+    const auto found = asks_.find(answer.ticket);
+    if (found == asks_.end()) {
+        ++counters_.late_verdicts;
+        return;
+    }
+    // A record that must not be missed is sent again by its timer.
+    if (answer.verdict == ledger_verdict::refused && must_be_recorded(found->second.request.operation)) {
+        return;
+    }
+    finish_ask(answer.ticket, answer);
+}
+
+void claim_client::finish_ask(std::uint64_t ticket, const ledger_answer& answer)
+{
+    auto entry = asks_.extract(ticket);
+    loop_.cancel(entry.mapped().timer);
+    if (answer.verdict == ledger_verdict::refused && must_be_recorded(entry.mapped().request.operation)) {
+        ++counters_.unconfirmed_records;
+    }
+    entry.mapped().done(answer);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/ledger/dispatch_guard.cpp
@@ -0,0 +1,11 @@
+// Compares a claim's expiry with both clocks.
+#include <agatespar/ledger/dispatch_guard.h>
+
+namespace agatespar {
+
+bool may_dispatch(const granted_claim& claim, wall_time now_wall, steady_time now_steady, duration allowance)
+{
+    return claim.expiry - now_wall > allowance && claim.deadline - now_steady > allowance;
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/ledger/owner_decision.cpp
@@ -0,0 +1,111 @@
+// The owner's rules for each operation.
+#include <agatespar/ledger/owner_decision.h>
+
+namespace agatespar {
+
+static owner_decision answer_with(ledger_verdict verdict)
+{
+    return {owner_step::answer, {verdict, {}, {}}};
+}
+
+static const owner_decision write_first{owner_step::write, {}};
+static const owner_decision wait_for_more{owner_step::wait, {}};
+
+// These hold whatever stands in records that were not read, as a key has one holder and one outcome.
+static bool holds_in_any_window(ledger_verdict verdict)
+{
+    return verdict == ledger_verdict::finished || verdict == ledger_verdict::running ||
+           verdict == ledger_verdict::outcome_unknown;
+}
+
+// Decides what does not depend on the operation. A `write` result means that nothing was decided.
+static owner_decision decide_window(const owner_view& view, const key_judgement& judgement, wall_time key_time,
+                                    const ledger_settings& settings)
+{
+    if (holds_in_any_window(judgement.verdict)) {
+        return {owner_step::answer, judgement};
+    }
+    if (key_time < view.now - settings.key_window) {
+        return answer_with(ledger_verdict::too_old);
+    }
+    if (view.window == window_state::incomplete) {
+        return answer_with(ledger_verdict::refused);
+    }
+    return write_first;
+}
+
+static owner_decision decide_claim(const owner_view& view, const claim_record& claim, const ledger_settings& settings)
+{
+    const key_judgement judgement = judge_claim(view.state, claim, view.now, settings);
+    const owner_decision decision = decide_window(view, judgement, claim.key_time, settings);
+    if (decision.step == owner_step::write && judgement.verdict != ledger_verdict::not_claimed) {
+        return {owner_step::answer, judgement};
+    }
+    return decision;
+}
+
+static owner_decision decide_cancel(const owner_view& view, const cancel_record& cancel,
+                                    const ledger_settings& settings)
+{
+    const key_judgement judgement = judge_key(view.state, cancel.key, view.now, settings);
+    const owner_decision decision = decide_window(view, judgement, cancel.key_time, settings);
+    if (decision.step == owner_step::write && judgement.verdict == ledger_verdict::cancelled) {
+        return {owner_step::answer, judgement};
+    }
+    return decision;
+}
+
+static owner_decision decide_look_up(const owner_view& view, const cancel_record& asked,
+                                     const ledger_settings& settings)
+{
+    const key_judgement judgement = judge_key(view.state, asked.key, view.now, settings);
+    const owner_decision decision = decide_window(view, judgement, asked.key_time, settings);
+    if (decision.step == owner_step::write) {
+        return {owner_step::answer, judgement};
+    }
+    return decision;
+}
+
+static owner_decision decide_abandon(const owner_view& view, const abandoned_record& abandoned,
+                                     const ledger_settings& settings)
+{
+    const bool moot = abandoned.key_time < view.now - settings.key_window - settings.window_slack;
+    const auto fate = fate_of_claim(view.state, abandoned.key, abandoned.id);
+    return moot || fate == claim_fate::abandoned ? answer_with(ledger_verdict::recorded) : write_first;
+}
+
+static owner_decision decide_outcome(const owner_view& view, const outcome_record& result)
+{
+    const auto found = view.state.keys.find(result.key);
+    if (found != view.state.keys.end() && found->second.outcome_at) {
+        return answer_with(ledger_verdict::recorded);
+    }
+    if (fate_of_claim(view.state, result.key, result.id) == claim_fate::held) {
+        return write_first;
+    }
+    // The claim left the window, so that no repeat of its key can ask for the outcome.
+    return view.fresh ? answer_with(ledger_verdict::recorded) : wait_for_more;
+}
+
+owner_decision decide_request(const owner_view& view, ledger_operation operation, const ledger_record& record,
+                              const ledger_settings& settings)
+{
+    if (view.window == window_state::recovering) {
+        return wait_for_more;
+    }
+    switch (operation) {
+    case ledger_operation::claim:
+        return decide_claim(view, std::get<claim_record>(record), settings);
+    case ledger_operation::abandon:
+        return decide_abandon(view, std::get<abandoned_record>(record), settings);
+    case ledger_operation::cancel:
+        return view.fresh ? decide_cancel(view, std::get<cancel_record>(record), settings) : wait_for_more;
+    case ledger_operation::record_outcome:
+        return decide_outcome(view, std::get<outcome_record>(record));
+    case ledger_operation::look_up:
+        return view.fresh ? decide_look_up(view, std::get<cancel_record>(record), settings) : wait_for_more;
+    }
+    return answer_with(ledger_verdict::refused);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/ledger/partition_state.cpp
@@ -0,0 +1,170 @@
+// The rules by which the log's order decides who holds a key.
+#include <agatespar/ledger/partition_state.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+// A key that was claimed and abandoned this often takes no further claims, which bounds its memory.
+static constexpr std::size_t max_claims_per_key = 64;
+
+static claim_entry* find_claim(key_entry& entry, claim_id id)
+{
+    const auto found = std::find_if(entry.claims.begin(), entry.claims.end(),
+                                    [id](const claim_entry& candidate) { return candidate.id == id; });
+    return found == entry.claims.end() ? nullptr : &*found;
+}
+
+static const claim_entry* find_claim(const key_entry& entry, claim_id id)
+{
+    return find_claim(const_cast<key_entry&>(entry), id);
+}
+
+static const claim_entry* find_holder(const key_entry& entry)
+{
+    const auto found = std::find_if(entry.claims.begin(), entry.claims.end(),
+                                    [](const claim_entry& claim) { return claim.fate == claim_fate::held; });
+    return found == entry.claims.end() ? nullptr : &*found;
+}
+
+static bool is_open(const key_entry& entry)
+{
+    return !entry.cancelled && !entry.outcome_at && find_holder(entry) == nullptr &&
+           entry.claims.size() < max_claims_per_key;
+}
+
+static key_entry& entry_of(partition_state& state, const ledger_key& key, wall_time key_time)
+{
+    const auto [found, inserted] = state.keys.try_emplace(key);
+    if (inserted) {
+        found->second.key_time = key_time;
+    }
+    return found->second;
+}
+
+static void fold(partition_state& state, const claim_record& claim, const ledger_settings& settings)
+{
+    // An append that takes effect this late belongs to a claim that gave up long ago, of a key that may be forgotten.
+    if (claim.written > claim.key_time + settings.key_window + settings.window_slack) {
+        return;
+    }
+    key_entry& entry = entry_of(state, claim.key, claim.key_time);
+    if (find_claim(entry, claim.id) != nullptr || entry.claims.size() >= max_claims_per_key) {
+        return;
+    }
+    const request_fingerprint first = entry.fingerprint.value_or(claim.fingerprint);
+    const bool wins = is_open(entry) && first == claim.fingerprint;
+    entry.fingerprint = first;
+    entry.claims.push_back({claim.id, wins ? claim_fate::held : claim_fate::lost, state.next, claim.expiry});
+}
+
+static void fold(partition_state& state, const abandoned_record& abandoned, const ledger_settings&)
+{
+    key_entry& entry = entry_of(state, abandoned.key, abandoned.key_time);
+    if (claim_entry* claim = find_claim(entry, abandoned.id)) {
+        claim->fate = claim_fate::abandoned;
+        return;
+    }
+    // The claim's own append may still take effect, and must then not hold the key.
+    if (entry.claims.size() < max_claims_per_key) {
+        entry.claims.push_back({abandoned.id, claim_fate::abandoned, state.next, wall_time{}});
+    }
+}
+
+static void fold(partition_state& state, const cancel_record& cancel, const ledger_settings&)
+{
+    key_entry& entry = entry_of(state, cancel.key, cancel.key_time);
+    if (!entry.outcome_at && find_holder(entry) == nullptr) {
+        entry.cancelled = true;
+    }
+}
+
+static void fold(partition_state& state, const outcome_record& result, const ledger_settings&)
+{
+    const auto found = state.keys.find(result.key);
+    if (found == state.keys.end() || found->second.outcome_at) {
+        return;
+    }
+    const claim_entry* claim = find_claim(found->second, result.id);
+    if (claim != nullptr && claim->fate == claim_fate::held) {
+        found->second.outcome_at = state.next;
+    }
+}
+
+void fold_record(partition_state& state, std::string_view payload, const ledger_settings& settings)
+{
+    const auto record = decode_record(payload);
+    if (record) {
+        std::visit([&](const auto& alternative) { fold(state, alternative, settings); }, *record);
+    }
+    else {
+        ++state.malformed;
+    }
+    state.next = log_offset{state.next.value() + 1};
+}
+
+void forget_old_keys(partition_state& state, wall_time now, const ledger_settings& settings)
+{
+    const wall_time oldest = now - settings.key_window - settings.window_slack;
+    std::erase_if(state.keys, [oldest](const auto& item) { return item.second.key_time < oldest; });
+}
+
+std::optional<claim_fate> fate_of_claim(const partition_state& state, const ledger_key& key, claim_id id)
+{
+    const auto found = state.keys.find(key);
+    if (found == state.keys.end()) {
+        return std::nullopt;
+    }
+    const claim_entry* claim = find_claim(found->second, id);
+    return claim == nullptr ? std::nullopt : std::optional{claim->fate};
+}
+
+static key_judgement judge_entry(const key_entry& entry, wall_time now, const ledger_settings& settings)
+{
+    if (entry.cancelled) {
+        return {ledger_verdict::cancelled, {}, {}};
+    }
+    if (entry.outcome_at) {
+        return {ledger_verdict::finished, {}, *entry.outcome_at};
+    }
+    if (const claim_entry* holder = find_holder(entry)) {
+        const bool over = now > holder->expiry + settings.clock_allowance + settings.max_run_time;
+        return {over ? ledger_verdict::outcome_unknown : ledger_verdict::running,
+                fencing_number{holder->offset.value()},
+                {}};
+    }
+    return {entry.claims.empty() ? ledger_verdict::not_claimed : ledger_verdict::abandoned, {}, {}};
+}
+
+key_judgement judge_key(const partition_state& state, const ledger_key& key, wall_time now,
+                        const ledger_settings& settings)
+{
+    const auto found = state.keys.find(key);
+    return found == state.keys.end() ? key_judgement{} : judge_entry(found->second, now, settings);
+}
+
+key_judgement judge_claim(const partition_state& state, const claim_record& claim, wall_time now,
+                          const ledger_settings& settings)
+{
+    const auto found = state.keys.find(claim.key);
+    if (found == state.keys.end()) {
+        return {};
+    }
+    const key_entry& entry = found->second;
+    if (entry.fingerprint && *entry.fingerprint != claim.fingerprint) {
+        return {ledger_verdict::key_reused, {}, {}};
+    }
+    const claim_entry* own = find_claim(entry, claim.id);
+    if (own != nullptr && own->fate == claim_fate::held && !entry.outcome_at) {
+        return {ledger_verdict::granted, fencing_number{own->offset.value()}, {}};
+    }
+    const key_judgement others = judge_entry(entry, now, settings);
+    // A claim that stands in the log keeps its place in the order, so it cannot win any more.
+    const bool may_win = own == nullptr && is_open(entry);
+    if (others.verdict == ledger_verdict::abandoned && may_win) {
+        return {};
+    }
+    return others;
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/unittests/ledger/claim_test.cpp
@@ -0,0 +1,171 @@
+// Tests of claims: who may dispatch, and what everybody else is told.
+#include "ledger_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+SCENARIO("the first claim of a key in the log's order holds it")
+{
+    ledger_fixture world{3};
+    const claim_order order = world.order("k");
+
+    GIVEN("a claim that was granted")
+    {
+        const auto first = world.claim(0, order);
+        REQUIRE(first);
+        const granted_claim claim = granted(first);
+        CHECK(claim.fence == fencing_number{1});
+
+        WHEN("the key is sent again while it runs")
+        {
+            const auto second = world.claim(1, order);
+            THEN("the repeat is not run, and not told that nothing ran")
+            {
+                REQUIRE(!second);
+                CHECK(second.error().code == error_code::conflict);
+                CHECK(second.error().ran == run_state::outcome_unknown);
+            }
+        }
+        WHEN("its outcome is recorded")
+        {
+            REQUIRE(world.vms[0]->client->begin_dispatch(claim));
+            world.vms[0]->client->record_outcome(claim, {claim.request, 201, "text/plain", "booked", false});
+            world.loop.advance(1s);
+            CHECK(world.vms[0]->client->unconfirmed() == 0);
+            THEN("a repeat through another VM and another owner gets the first answer")
+            {
+                world.first_owner = 2;
+                const auto repeat = world.claim(1, order);
+                REQUIRE(repeat);
+                CHECK(std::get<stored_outcome>(*repeat).body == "booked");
+                CHECK(std::get<stored_outcome>(*repeat).request == order.request);
+            }
+            THEN("a look-up gets it as well")
+            {
+                const auto report = world.look_up(2, order);
+                REQUIRE(report);
+                CHECK(report->state == ledger_verdict::finished);
+                CHECK(report->result.status == 201);
+            }
+            THEN("a cancel comes too late")
+            {
+                CHECK(world.look_up(2, order, true)->state == ledger_verdict::finished);
+            }
+        }
+        WHEN("the key comes with another content")
+        {
+            claim_order other = order;
+            other.fingerprint = request_fingerprint{8};
+            const auto reuse = world.claim(1, other);
+            THEN("it is refused as a reuse of the key")
+            {
+                REQUIRE(!reuse);
+                CHECK(reuse.error().code == error_code::invalid_argument);
+                CHECK(reuse.error().ran == run_state::not_run);
+            }
+        }
+        WHEN("the claim is abandoned")
+        {
+            world.vms[0]->client->abandon(claim);
+            world.loop.advance(1s);
+            THEN("a new claim holds the key, and the old one may not dispatch")
+            {
+                CHECK(granted(world.claim(1, order)).fence > claim.fence);
+                CHECK(!world.vms[0]->client->begin_dispatch(claim));
+            }
+        }
+    }
+    GIVEN("a key that was cancelled first")
+    {
+        CHECK(world.look_up(0, order, true)->state == ledger_verdict::cancelled);
+        const auto late = world.claim(1, order);
+        THEN("a later claim is told, truly, that nothing ran")
+        {
+            REQUIRE(!late);
+            CHECK(late.error().ran == run_state::not_run);
+        }
+    }
+}
+
+SCENARIO("a claim is dispatched once and only before its expiry")
+{
+    ledger_fixture world{2};
+    const claim_order order = world.order("k", submission::first);
+    const granted_claim claim = granted(world.claim(0, order));
+    claim_client& client = *world.vms[0]->client;
+
+    GIVEN("a holder that dispatches in time")
+    {
+        REQUIRE(client.begin_dispatch(claim));
+        THEN("it may not dispatch again")
+        {
+            CHECK(!client.begin_dispatch(claim));
+        }
+    }
+    GIVEN("a holder that was paused past the expiry")
+    {
+        world.loop.advance(world.settings.claim_lifetime);
+        const auto verdict = client.begin_dispatch(claim);
+        THEN("it does not dispatch, and the key can be claimed again")
+        {
+            REQUIRE(!verdict);
+            CHECK(verdict.error().code == error_code::expired);
+            CHECK(verdict.error().ran == run_state::not_run);
+            world.loop.advance(1s);
+            CHECK(world.claim(1, order).has_value());
+        }
+    }
+    GIVEN("a margin that the clocks' allowance uses up")
+    {
+        world.loop.advance(world.settings.claim_lifetime - world.settings.clock_allowance);
+        THEN("it does not dispatch")
+        {
+            CHECK(!client.begin_dispatch(claim));
+        }
+    }
+    GIVEN("a holder that died after its dispatch")
+    {
+        world.kill(0);
+        world.first_owner = 1;
+        THEN("the key is never taken over, and its outcome is said to be unknown in the end")
+        {
+            CHECK(world.claim(1, order).error().code == error_code::conflict);
+            world.loop.advance(world.settings.claim_lifetime + world.settings.max_run_time + 3s);
+            const auto later = world.claim(1, order);
+            REQUIRE(!later);
+            CHECK(later.error().code == error_code::outcome_unknown);
+            CHECK(later.error().ran == run_state::outcome_unknown);
+        }
+    }
+}
+
+SCENARIO("a key's age is checked before anything is claimed")
+{
+    ledger_fixture world{1};
+    claim_order order = world.order("k");
+    GIVEN("a key older than the window")
+    {
+        order.key_time -= world.settings.key_window + 1s;
+        const auto answer = world.claim(0, order);
+        REQUIRE(!answer);
+        CHECK(answer.error().code == error_code::outcome_unknown);
+    }
+    GIVEN("a key dated in the future")
+    {
+        order.key_time += 1min;
+        CHECK(world.claim(0, order).error().code == error_code::invalid_argument);
+    }
+    CHECK(world.log.append_calls() == 0);
+}
+
+SCENARIO("an old key's second submission does not run again after its entry was forgotten")
+{
+    ledger_fixture world{1};
+    const claim_order order = world.order("k");
+    REQUIRE(world.vms[0]->client->begin_dispatch(granted(world.claim(0, order))));
+    world.loop.advance(world.settings.key_window + world.settings.window_slack + 5s);
+    CHECK(world.owner(0, partition_of(order.key)).state().keys.empty());
+    CHECK(world.claim(0, order).error().code == error_code::outcome_unknown);
+}
--- /dev/null
+++ b/unittests/ledger/ledger_fixture.h
@@ -0,0 +1,133 @@
+// A small set of VMs with claim clients and owners over an in-memory log, on a manual loop.
+#pragma once
+
+#include <agatespar/kernel/manual_event_loop.h>
+#include <agatespar/ledger/claim_client.h>
+#include <agatespar/ledger/claim_owner.h>
+#include <agatespar/platform/memory_log.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace agatespar {
+
+/// One VM: a client, and an owner for each partition that it was asked for. A null client is a dead VM.
+struct ledger_vm {
+    std::unique_ptr<claim_client> client;
+    std::map<ledger_partition, std::unique_ptr<claim_owner>> owners;
+};
+
+struct ledger_fixture {
+    explicit ledger_fixture(std::size_t vm_count, std::uint64_t seed = 1) : log(loop, seed)
+    {
+        for (std::size_t index = 0; index < vm_count; ++index) {
+            vms.push_back(std::make_shared<ledger_vm>());
+            boot(index);
+        }
+    }
+
+    /// Starts a VM's process afresh, with a new boot id.
+    void boot(std::size_t index)
+    {
+        vms[index] = std::make_shared<ledger_vm>();
+        vms[index]->client = std::make_unique<claim_client>(
+            loop, boot_id{++last_boot}, settings,
+            [this, index](ledger_partition partition, unsigned attempt, const ledger_request& request) {
+                const std::size_t target = (first_owner + attempt) % vms.size();
+                loop.schedule(hop, [this, index, target, partition, request, from = std::weak_ptr(vms[index])] {
+                    deliver(target, partition, request, from);
+                });
+            });
+    }
+
+    void kill(std::size_t index) { vms[index] = std::make_shared<ledger_vm>(); }
+
+    claim_owner& owner(std::size_t index, ledger_partition partition)
+    {
+        auto& slot = vms[index]->owners[partition];
+        if (!slot) {
+            slot = std::make_unique<claim_owner>(loop, log.service(), partition, settings);
+            slot->start();
+        }
+        return *slot;
+    }
+
+    void deliver(std::size_t target, ledger_partition partition, const ledger_request& request,
+                 const std::weak_ptr<ledger_vm>& from)
+    {
+        if (!vms[target]->client) {
+            return;
+        }
+        owner(target, partition).serve(request, [this, from](const ledger_answer& answer) {
+            loop.schedule(hop, [from, answer] {
+                if (const auto vm = from.lock()) {
+                    vm->client->on_answer(answer);
+                }
+            });
+        });
+    }
+
+    claim_order order(const std::string& key, submission sent = submission::possibly_repeated)
+    {
+        claim_order result;
+        result.key = {{fleet_name{"tornjevi"}, client_account_name{"shop"}}, idempotency_key{key}};
+        result.key_time = loop.time().wall_now();
+        result.request = request_id{"request-" + key};
+        result.fingerprint = request_fingerprint{7};
+        result.sent = sent;
+        return result;
+    }
+
+    /// Claims and runs the loop until the answer is there.
+    outcome<claim_result> claim(std::size_t index, const claim_order& asked)
+    {
+        std::optional<outcome<claim_result>> answer;
+        vms[index]->client->claim(asked, [&](outcome<claim_result> result) { answer = std::move(result); });
+        run_until([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    outcome<key_report> look_up(std::size_t index, const claim_order& asked, bool cancel = false)
+    {
+        std::optional<outcome<key_report>> answer;
+        const auto keep = [&](outcome<key_report> result) { answer = std::move(result); };
+        claim_client& client = *vms[index]->client;
+        if (cancel) {
+            client.cancel(asked.key, asked.key_time, asked.patience, keep);
+        }
+        else {
+            client.look_up(asked.key, asked.key_time, asked.patience, keep);
+        }
+        run_until([&] { return answer.has_value(); });
+        return *answer;
+    }
+
+    /// Advances in small steps. Stops after a simulated minute, so that a missing answer fails and does not hang.
+    template <class Condition>
+    void run_until(Condition reached)
+    {
+        for (int step = 0; step < 60'000 && !reached(); ++step) {
+            loop.advance(std::chrono::milliseconds{1});
+        }
+    }
+
+    manual_event_loop loop;
+    memory_log log;
+    ledger_settings settings;
+    std::chrono::milliseconds hop{1};
+    std::size_t first_owner{0};
+    std::uint64_t last_boot{0};
+    std::vector<std::shared_ptr<ledger_vm>> vms;
+};
+
+/// @return the granted claim of a result that must be one.
+inline granted_claim granted(const outcome<claim_result>& result)
+{
+    return std::get<granted_claim>(result.value());
+}
+
+} // namespace agatespar
