--- /dev/null
+++ b/lib/cascade/planner.cpp
@@ -0,0 +1,150 @@
+// Plans how each request is served.
+#include <agatespar/cascade/planner.h>
+#include <agatespar/support/hash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace agatespar {
+
+// Until a model other than the strong one has this many answers in a class, it is taken for bad.
+static constexpr double fewest_samples = 20;
+// The strong model is taken for this good in a class where it has not answered yet.
+static constexpr double strong_prior = 0.97;
+static constexpr double strong_prior_weight = 20;
+
+cascade_planner::cascade_planner(const cascade_settings& settings, std::size_t classes)
+    : settings_(settings), mixes_(classes), unexplored_(classes)
+{
+}
+
+void cascade_planner::group_models(const routing_view& view, const version_set& versions)
+{
+    models_.clear();
+    model_versions_ = {};
+    model_cost_ = {};
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        const version_view& version = view.versions[i];
+        if (!versions[i] || version.withdrawn)
+            continue;
+        const std::uint8_t model = version.model.value();
+        if (model_versions_[model].none())
+            models_.push_back(model);
+        model_versions_[model].set(i);
+        model_cost_[model] = std::max(model_cost_[model], version.cost_per_1k_tokens);
+    }
+    // The dearest model is the reference of quality.
+    const auto dearest = std::max_element(models_.begin(), models_.end(),
+                                          [&](auto a, auto b) { return model_cost_[a] < model_cost_[b]; });
+    strong_ = model_index{dearest == models_.end() ? std::uint8_t{0} : *dearest};
+}
+
+cascade_planner::model_quality cascade_planner::quality_of(const routing_view& view, const quality_estimates& quality,
+                                                           std::size_t model, class_index request_class) const
+{
+    model_quality sum;
+    double weights = 0;
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        const version_index version{static_cast<std::uint8_t>(i)};
+        const double samples = quality.samples(version, request_class);
+        if (!model_versions_[model][i] || samples <= 0)
+            continue;
+        // Shares weigh, but a version with few answers so far does not sway the model's estimate.
+        const double share = view.versions[i].stopped_by_guard ? 0 : view.versions[i].share;
+        const double weight = share * std::min(1.0, samples / fewest_samples);
+        sum.samples += samples;
+        sum.truly_good += weight * quality.truly_good(version, request_class);
+        sum.rated_good += weight * quality.rated_good(version, request_class);
+        weights += weight;
+    }
+    if (weights > 0) {
+        sum.truly_good /= weights;
+        sum.rated_good /= weights;
+    }
+    if (model == strong_.value()) {
+        const double known = sum.samples / (sum.samples + strong_prior_weight);
+        sum.truly_good = known * sum.truly_good + (1 - known) * strong_prior;
+    }
+    return sum;
+}
+
+class_options cascade_planner::options_for(const routing_view& view, const quality_estimates& quality,
+                                           class_index request_class, const class_traits& traits)
+{
+    class_options result;
+    result.traffic = traits.traffic;
+    const model_quality strong = quality_of(view, quality, strong_.value(), request_class);
+    const double strong_cost = model_cost_[strong_.value()] * traits.mean_tokens / 1000;
+    result.strong_good = strong.truly_good;
+    result.options.push({strong_, std::nullopt, strong.truly_good, strong_cost});
+    for (const std::uint8_t model : models_) {
+        if (model == strong_.value())
+            continue;
+        const model_quality each = quality_of(view, quality, model, request_class);
+        if (each.samples < settings_.enough_samples)
+            unexplored_[request_class.value()].push_back(model_index{model});
+        if (each.samples < fewest_samples)
+            continue;
+        const double cost = model_cost_[model] * traits.mean_tokens / 1000;
+        result.options.push({model_index{model}, std::nullopt, each.truly_good, cost});
+        if (!traits.may_be_held || !cascade_pays(cost, 1 - each.rated_good, strong_cost))
+            continue;
+        result.options.push({model_index{model}, strong_,
+                             cascade_good(each.truly_good, strong.truly_good, quality.errors()),
+                             cost + (1 - each.rated_good) * strong_cost});
+    }
+    if (strong.samples < settings_.enough_samples)
+        unexplored_[request_class.value()].push_back(strong_);
+    return result;
+}
+
+void cascade_planner::refresh(const routing_view& view, const version_set& versions, const quality_estimates& quality,
+                              const std::vector<class_traits>& classes)
+{
+    group_models(view, versions);
+    if (models_.empty())
+        return;
+    std::vector<class_options> options;
+    for (std::size_t i = 0; i < classes.size(); ++i) {
+        unexplored_[i].clear();
+        options.push_back(options_for(view, quality, class_index{static_cast<std::uint8_t>(i)}, classes[i]));
+    }
+    mixes_ = cheapest_mix(options, settings_.quality_target + settings_.quality_margin);
+}
+
+/// @return a number in [0, 1) that stays with the session.
+static double point_of(std::uint64_t session_hash, class_index request_class)
+{
+    constexpr std::uint64_t purpose = 0x6d69'7865'64ULL;
+    return std::ldexp(static_cast<double>(combine_hashes(session_hash, purpose + request_class.value()) >> 11U), -53);
+}
+
+serving_plan cascade_planner::plan(const plan_request& request, bool rating_available, std::mt19937_64& random) const
+{
+    serving_plan result;
+    result.first = strong_versions();
+    if (!rating_available || models_.empty())
+        return result;
+    const std::size_t at = request.request_class.value();
+    const class_mix& mix = mixes_[at];
+    const bool better = point_of(request.session_hash, request.request_class) < mix.better_share;
+    const serving_option& option = better ? mix.better : mix.cheaper;
+    const auto& unexplored = unexplored_[at];
+    const bool both_fit = request.may_be_held && request.both_steps < request.left;
+    if (!unexplored.empty() && std::bernoulli_distribution{settings_.exploration}(random)) {
+        const model_index model = unexplored[random() % unexplored.size()];
+        result.exploring = true;
+        result.first = model_versions_[model.value()];
+        if (model != strong_ && both_fit)
+            result.then = strong_versions();
+        return result;
+    }
+    if (option.then && !both_fit)
+        return result;
+    result.first = model_versions_[option.first.value()];
+    if (option.then)
+        result.then = model_versions_[option.then->value()];
+    return result;
+}
+
+} // namespace agatespar
