--- a/include/agatespar/platform/http_client.h
+++ b/include/agatespar/platform/http_client.h
@@ -22,8 +22,10 @@
     std::vector<http_header> headers;
     /// Sent as application/json unless empty.
     std::string body;
-    /// For send(): until the whole answer is read. For stream(): until the head, then between two pieces of the body.
+    /// For send(): until the whole answer is read. For stream(): until the head is read.
     std::chrono::milliseconds timeout{5000};
+    /// For stream(): the longest silence between two pieces of the body.
+    std::chrono::milliseconds idle_timeout{5000};
     /// Sends on a connection of its own and never sends twice, as a non-idempotent request needs.
     bool fresh_connection{false};
 };
--- /dev/null
+++ b/lib/platform/completion_stream.cpp
@@ -0,0 +1,118 @@
+// Turns the events of one engine's answer into the callbacks of one attempt.
+#include "completion_stream.h"
+
+#include "json_answer.h"
+
+namespace agatespar {
+
+// More of an error answer is not read.
+static constexpr std::size_t max_error_bytes = std::size_t{16} * 1024;
+
+completion_stream::completion_stream(attempt_id attempt, token_offset resume_from, engine_callbacks callbacks,
+                                     std::size_t max_event_bytes)
+    : attempt_(attempt), next_offset_(resume_from), callbacks_(std::move(callbacks)), events_(max_event_bytes)
+{
+}
+
+void completion_stream::fail(error reason)
+{
+    if (ended_) {
+        return;
+    }
+    ended_ = true;
+    const engine_callbacks last = std::exchange(callbacks_, {});
+    last.on_error(reason);
+}
+
+void completion_stream::take_head(const http_head& head)
+{
+    head_ = head;
+}
+
+void completion_stream::take_bytes(std::string_view bytes)
+{
+    if (ended_) {
+        return;
+    }
+    if (head_.status != 200) {
+        error_body_ += bytes.substr(0, max_error_bytes - error_body_.size());
+        return;
+    }
+    const auto fed = events_.feed(bytes, [this](std::string_view data) { return take_event(data); });
+    if (!fed) {
+        fail(fed.error());
+    }
+}
+
+void completion_stream::take_close(const outcome<void>& result)
+{
+    if (!result) {
+        fail(result.error());
+        return;
+    }
+    if (head_.status != 200) {
+        fail(read_error_answer(head_, error_body_));
+        return;
+    }
+    fail(error{error_code::unavailable, "the answer broke off without its end mark", run_state::outcome_unknown,
+               std::nullopt});
+}
+
+bool completion_stream::take_event(std::string_view data)
+{
+    const auto event = parse_json_object(data);
+    if (!event) {
+        fail(event.error());
+        return false;
+    }
+    if (!event->contains("attempt") || number_field(*event, "attempt") != attempt_.value()) {
+        fail(malformed_answer("the answer belongs to another attempt").value());
+        return false;
+    }
+    const std::string type = string_field(*event, "type");
+    if (type == "start") {
+        callbacks_.on_start(server_start_id{number_field(*event, "start")});
+    }
+    else if (type == "tokens") {
+        take_tokens(*event);
+    }
+    else if (type == "end") {
+        take_end(*event);
+    }
+    else if (type == "error") {
+        fail(error{error_code::unavailable, "the engine gave up: " + string_field(*event, "message"),
+                   run_state::outcome_unknown, std::nullopt});
+    }
+    return !ended_;
+}
+
+void completion_stream::take_tokens(const nlohmann::json& event)
+{
+    engine_tokens piece{token_offset{number_field(event, "offset")}, token_count{number_field(event, "count", 1)},
+                        string_field(event, "text")};
+    if (piece.offset != next_offset_) {
+        fail(malformed_answer("the answer has a gap or a repeat").value());
+        return;
+    }
+    next_offset_ = token_offset{next_offset_.value() + piece.count.value()};
+    callbacks_.on_tokens(piece);
+}
+
+void completion_stream::take_end(const nlohmann::json& event)
+{
+    const auto found = event.find("usage");
+    const nlohmann::json usage = found == event.end() ? nlohmann::json::object() : *found;
+    engine_finish finish{string_field(event, "finish_reason"),
+                         {token_count{number_field(usage, "prompt_tokens")},
+                          token_count{number_field(usage, "cached_tokens")},
+                          token_count{number_field(usage, "completion_tokens")}}};
+    if (finish.usage.completion.value() != next_offset_.value()) {
+        fail(malformed_answer("the end mark does not fit the length of the answer").value());
+        return;
+    }
+    ended_ = true;
+    const engine_callbacks last = std::exchange(callbacks_, {});
+    last.on_end(finish);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/platform/completion_stream.h
@@ -0,0 +1,44 @@
+// Turns the events of one engine's answer into the callbacks of one attempt, and rejects what does not belong to it.
+#pragma once
+
+#include "event_stream.h"
+
+#include <agatespar/platform/engine.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace agatespar {
+
+/// Checks that each event carries the attempt's id and follows at the next offset, and that the end mark fits.
+class completion_stream {
+public:
+    completion_stream(attempt_id attempt, token_offset resume_from, engine_callbacks callbacks,
+                      std::size_t max_event_bytes);
+
+    /// The answer is over, or nobody wants it any more.
+    bool ended() const { return ended_; }
+    /// Makes no callback from now on. The callbacks stay, as one of them may be running.
+    void abandon() { ended_ = true; }
+
+    void take_head(const http_head& head);
+    void take_bytes(std::string_view bytes);
+    /// The connection has closed, in order or with a failure.
+    void take_close(const outcome<void>& result);
+
+private:
+    /// Returns false once the answer is over.
+    bool take_event(std::string_view data);
+    void take_tokens(const nlohmann::json& event);
+    void take_end(const nlohmann::json& event);
+    void fail(error reason);
+
+    attempt_id attempt_;
+    token_offset next_offset_;
+    engine_callbacks callbacks_;
+    event_stream events_;
+    http_head head_;
+    std::string error_body_;
+    bool ended_{false};
+};
+
+} // namespace agatespar
