Add billing: usage outbox with a second holder, fold, roll-ups

One usage record a request has to reach the log although VMs keep nothing.

Records that are taken over are now held by another VM as well.

--- a/include/agatespar/ledger/usage_fold.h
+++ b/include/agatespar/ledger/usage_fold.h
@@ -3,12 +3,17 @@
 
 #include <agatespar/ledger/usage_record.h>
 #include <agatespar/platform/log_service.h>
+#include <agatespar/support/clock.h>
 #include <agatespar/support/ids.h>
+#include <agatespar/support/outcome.h>
 #include <agatespar/support/units.h>
 
+#include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <string>
 #include <string_view>
 #include <unordered_set>
 #include <vector>
@@ -34,11 +39,16 @@
     MSGPACK_DEFINE_ARRAY(accounts, duplicates, malformed, lost_to_trimming)
 };
 
-/// The numbers seen from one origin: all up to a bound, and some beyond it.
+/// The numbers seen from one origin, as ranges without gaps: one range, but for what is still under way.
 struct seen_numbers {
-    std::uint64_t all_up_to{0};
-    std::vector<std::uint64_t> beyond;
-    MSGPACK_DEFINE_ARRAY(all_up_to, beyond)
+    /// From each range's first number to its last.
+    std::map<std::uint64_t, std::uint64_t> ranges;
+    /// When the origin's latest request finished.
+    wall_time latest;
+    MSGPACK_DEFINE_ARRAY(ranges, latest)
+
+    /// @return whether the number is new.
+    bool insert(std::uint64_t number);
 };
 
 /// A prefix of the usage stream, folded. Equal prefixes give equal states.
@@ -46,13 +56,16 @@
     /// The offset of the next record to fold.
     log_offset next{1};
     usage_totals totals;
-    /// Tells repeats of one origin's records for good, in little memory as numbers have no gaps.
+    /// Tells repeats of one origin's records, in little memory as numbers have no gaps.
     std::map<boot_id, seen_numbers> origins;
     /// Hashes of the latest claimed requests, oldest first, as two VMs may bill the same one.
     std::deque<std::uint64_t> claimed_requests;
+    /// The same hashes, to look them up.
     std::unordered_set<std::uint64_t> claimed_index;
 };
 
+/// An origin is forgotten when its latest request finished this long before the newest one; no record is that late.
+inline constexpr std::chrono::hours origin_memory{24 * 7};
 /// Claimed requests whose ids are remembered: more than the ledger's window holds at the peak rate.
 inline constexpr std::size_t max_claimed_requests = 400'000;
 
--- a/include/agatespar/ledger/usage_messages.h
+++ b/include/agatespar/ledger/usage_messages.h
@@ -8,16 +8,18 @@
 
 namespace agatespar {
 
-/// Sent as message_kind::usage_hold to the VM that is to hold the record.
+/// Sent as message_kind::usage_hold to the VM that is to hold the record for the sender.
 struct usage_hold {
     usage_record record;
     MSGPACK_DEFINE_ARRAY(record)
 };
 
-/// Sent as message_kind::usage_held back to the record's origin.
+/// Sent as message_kind::usage_held back to the VM that holds are kept for.
 struct usage_held {
     usage_sequence sequence;
-    MSGPACK_DEFINE_ARRAY(sequence)
+    /// Set when the release is overdue: the receiver answers with a release, or with the hold again.
+    bool overdue{false};
+    MSGPACK_DEFINE_ARRAY(sequence, overdue)
 };
 
 /// Sent as message_kind::usage_release to a holder: the log has these records.
--- a/include/agatespar/ledger/usage_outbox.h
+++ b/include/agatespar/ledger/usage_outbox.h
@@ -2,12 +2,14 @@
 #pragma once
 
 #include <agatespar/kernel/event_loop.h>
+#include <agatespar/ledger/usage_holder.h>
 #include <agatespar/ledger/usage_messages.h>
 #include <agatespar/ledger/usage_settings.h>
 #include <agatespar/platform/log_service.h>
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -58,21 +60,57 @@
 
     void on_hold(boot_id from, const usage_hold& message);
     void on_held(boot_id from, const usage_held& message);
-    void on_release(const usage_release& message);
+    void on_release(boot_id from, const usage_release& message);
     /// Appends the records that are held for a VM that died or left.
     void on_member_gone(boot_id member);
 
     /// Appends what waits without the usual delay, for a planned stop.
     void flush();
     /// @return records that the log has not confirmed, own and adopted; a planned stop waits for zero.
-    std::size_t pending() const;
+    std::size_t pending() const { return pending_.size(); }
     /// @return records held for other VMs.
-    std::size_t held() const;
-    const usage_outbox_counters& counters() const;
+    std::size_t held() const { return holder_.size(); }
+    const usage_outbox_counters& counters() const { return counters_; }
 
 private:
-    class impl;
-    std::shared_ptr<impl> impl_;
+    struct pending_usage;
+
+    template <class Call>
+    void later(duration delay, Call call);
+    void add_pending(usage_record record, std::function<void()> may_finish);
+    void take_over(std::vector<usage_record> records);
+    void ask_holder(const usage_sequence& sequence);
+    void send_hold_to_next(pending_usage& entry);
+    void let_finish(pending_usage& entry);
+    void schedule_append();
+    /// Without another VM only the log can hold a record.
+    void append_soon();
+    void append_batch();
+    void on_appended(const std::vector<usage_sequence>& sequences, bool ok);
+    void confirm(const std::vector<usage_sequence>& sequences);
+    void schedule_overdue_check();
+    void check_overdue();
+
+    event_loop& loop_;
+    log_service log_;
+    boot_id self_;
+    usage_settings settings_;
+    usage_peers peers_;
+    std::size_t reserved_{0};
+    std::uint64_t last_number_{0};
+    std::map<usage_sequence, pending_usage> pending_;
+    /// Those of pending_ that this VM did not originate.
+    std::size_t taken_over_{0};
+    usage_holder holder_;
+    steady_time next_append_;
+    bool append_scheduled_{false};
+    bool soon_scheduled_{false};
+    bool append_under_way_{false};
+    bool overdue_check_scheduled_{false};
+    bool flushing_{false};
+    usage_outbox_counters counters_;
+    /// Expires with the object, for callbacks that come later.
+    std::shared_ptr<const bool> alive_{std::make_shared<const bool>(true)};
 };
 
 } // namespace agatespar
--- a/include/agatespar/ledger/usage_reader.h
+++ b/include/agatespar/ledger/usage_reader.h
@@ -27,7 +27,7 @@
 /// two at once are harmless.
 class usage_rollup {
 public:
-    usage_rollup(event_loop& loop, log_service log, usage_rollup_settings settings);
+    usage_rollup(event_loop& loop, const log_service& log, usage_rollup_settings settings);
     ~usage_rollup();
     usage_rollup(const usage_rollup&) = delete;
     usage_rollup& operator=(const usage_rollup&) = delete;
--- /dev/null
+++ b/unittests/ledger/usage_test.cpp
@@ -0,0 +1,335 @@
+// Tests of billing: each answered request is billed once, whatever dies on the way.
+#include <agatespar/kernel/manual_event_loop.h>
+#include <agatespar/ledger/usage_outbox.h>
+#include <agatespar/ledger/usage_reader.h>
+#include <agatespar/platform/memory_log.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// VMs that hold each other's records; messages take a millisecond and can be lost.
+struct usage_world {
+    explicit usage_world(std::size_t count, std::uint64_t seed = 1, std::chrono::milliseconds patience = 1s)
+        : log(loop, seed), random(seed)
+    {
+        settings.hold_patience = patience;
+        for (std::uint64_t id = 1; id <= count; ++id) {
+            boot(boot_id{id});
+        }
+    }
+
+    void boot(boot_id id)
+    {
+        usage_peers peers;
+        peers.choose_holder = [this, id](const std::vector<boot_id>& asked) -> std::optional<boot_id> {
+            for (const auto& [other, vm] : vms) {
+                if (other != id && std::find(asked.begin(), asked.end(), other) == asked.end()) {
+                    return other;
+                }
+            }
+            return std::nullopt;
+        };
+        peers.send_hold = [this, id](boot_id to, const usage_hold& message) {
+            post(to, [id, message](usage_outbox& vm) { vm.on_hold(id, message); });
+        };
+        peers.send_held = [this, id](boot_id to, const usage_held& message) {
+            post(to, [id, message](usage_outbox& vm) { vm.on_held(id, message); });
+        };
+        peers.send_release = [this, id](boot_id to, const usage_release& message) {
+            post(to, [id, message](usage_outbox& vm) { vm.on_release(id, message); });
+        };
+        vms[id] = std::make_unique<usage_outbox>(loop, log.service(), id, settings, peers);
+    }
+
+    template <class Call>
+    void post(boot_id to, Call call)
+    {
+        if (std::bernoulli_distribution{lost_messages}(random)) {
+            return;
+        }
+        loop.schedule(1ms, [this, to, call] {
+            if (const auto found = vms.find(to); found != vms.end()) {
+                call(*found->second);
+            }
+        });
+    }
+
+    /// Ends a VM's process, and tells the others unless the log of deaths is to be late.
+    void kill(boot_id id, bool tell = true)
+    {
+        vms.erase(id);
+        for (const auto& [other, vm] : vms) {
+            if (tell) {
+                vm->on_member_gone(id);
+            }
+        }
+    }
+
+    bool bill(boot_id id, const std::string& request, std::uint64_t tokens = 10)
+    {
+        usage_outbox& vm = *vms.at(id);
+        if (!vm.reserve()) {
+            return false;
+        }
+        usage_record record;
+        record.request = request_id{request};
+        record.account = {fleet_name{"colombes"}, client_account_name{"mairie"}};
+        record.attempts.push_back({model_name{"m"}, version_name{"1"}, {}, token_count{tokens}, cost_units{0.5}});
+        record.finished = loop.time().wall_now();
+        vm.settle(record, [this, request] { ++answered[request]; });
+        return true;
+    }
+
+    usage_totals totals()
+    {
+        std::optional<outcome<usage_totals>> result;
+        read_usage_totals(log.service(), [&](outcome<usage_totals> read) { result = std::move(read); });
+        loop.advance(1s);
+        return result.value().value();
+    }
+
+    std::uint64_t billed()
+    {
+        std::uint64_t requests = 0;
+        for (const auto& [account, usage] : totals().accounts) {
+            requests += usage.requests;
+        }
+        return requests;
+    }
+
+    manual_event_loop loop;
+    memory_log log;
+    usage_settings settings;
+    std::mt19937_64 random;
+    double lost_messages{0.0};
+    std::map<boot_id, std::unique_ptr<usage_outbox>> vms;
+    std::map<std::string, int> answered;
+};
+
+} // namespace
+
+SCENARIO("an answer's last byte waits until a second VM holds its bill")
+{
+    usage_world world{3};
+    world.log.set_faults({true, 0.0, 0ms});
+    REQUIRE(world.bill(boot_id{1}, "r1"));
+    CHECK(world.answered["r1"] == 0);
+    world.loop.advance(10ms);
+    CHECK(world.answered["r1"] == 1);
+    CHECK(world.vms[boot_id{2}]->held() == 1);
+
+    GIVEN("the origin dies while the log is down")
+    {
+        world.kill(boot_id{1});
+        world.loop.advance(10min);
+        world.log.set_faults({});
+        world.loop.advance(10s);
+        THEN("the holder appends the record")
+        {
+            CHECK(world.billed() == 1);
+        }
+    }
+    GIVEN("the holder dies instead")
+    {
+        world.kill(boot_id{2});
+        world.loop.advance(10ms);
+        THEN("another VM holds the record")
+        {
+            CHECK(world.vms[boot_id{3}]->held() == 1);
+        }
+    }
+    GIVEN("nobody learns of the origin's death")
+    {
+        world.kill(boot_id{1}, false);
+        world.log.set_faults({});
+        world.loop.advance(2 * world.settings.max_hold + 1min);
+        THEN("the holder appends the record when its release is overdue")
+        {
+            CHECK(world.billed() == 1);
+        }
+    }
+    GIVEN("the log comes back")
+    {
+        world.log.set_faults({});
+        world.loop.advance(10s);
+        THEN("the record is billed once and let go everywhere")
+        {
+            CHECK(world.billed() == 1);
+            CHECK(world.vms[boot_id{1}]->pending() == 0);
+            CHECK(world.vms[boot_id{2}]->held() == 0);
+        }
+    }
+}
+
+SCENARIO("a VM without peers lets the log hold the bill")
+{
+    usage_world world{1};
+    REQUIRE(world.bill(boot_id{1}, "r1"));
+    world.loop.advance(200ms);
+    CHECK(world.answered["r1"] == 1);
+    CHECK(world.billed() == 1);
+    GIVEN("the log is down as well")
+    {
+        world.log.set_faults({true, 0.0, 0ms});
+        REQUIRE(world.bill(boot_id{1}, "r2"));
+        world.loop.advance(2s);
+        THEN("the answer goes out, which is counted, and the bill follows")
+        {
+            CHECK(world.answered["r2"] == 1);
+            CHECK(world.vms[boot_id{1}]->counters().released_unheld == 1);
+            world.log.set_faults({});
+            world.loop.advance(10s);
+            CHECK(world.billed() == 2);
+        }
+    }
+}
+
+SCENARIO("a full buffer refuses requests before they start, and drops no bill")
+{
+    usage_world world{2};
+    world.log.set_faults({true, 0.0, 0ms});
+    std::size_t accepted = 0;
+    while (world.bill(boot_id{1}, "r" + std::to_string(accepted))) {
+        ++accepted;
+    }
+    CHECK(accepted == world.settings.max_pending);
+    CHECK(!world.vms[boot_id{1}]->reserve());
+    world.log.set_faults({});
+    world.vms[boot_id{1}]->flush();
+    world.loop.advance(1s);
+    CHECK(world.billed() == accepted);
+    CHECK(world.vms[boot_id{1}]->reserve());
+}
+
+SCENARIO("the fold bills a request once")
+{
+    usage_fold_state state;
+    usage_record record;
+    record.request = request_id{"r"};
+    record.sequence = {boot_id{1}, 3};
+    record.claimed = true;
+    CHECK(fold_usage_record(state, record));
+    CHECK(!fold_usage_record(state, record));
+
+    GIVEN("another VM bills a repeat of the same claimed request")
+    {
+        record.sequence = {boot_id{2}, 1};
+        CHECK(!fold_usage_record(state, record));
+    }
+    GIVEN("numbers that come out of order")
+    {
+        record.claimed = false;
+        for (const std::uint64_t number : {2, 5, 4, 1}) {
+            record.sequence.number = number;
+            CHECK(fold_usage_record(state, record));
+            CHECK(!fold_usage_record(state, record));
+        }
+        THEN("they end as one range")
+        {
+            CHECK(state.origins.at(boot_id{1}).ranges.size() == 1);
+        }
+    }
+    GIVEN("more claimed requests than are remembered")
+    {
+        for (std::uint64_t number = 10; number < 40; ++number) {
+            record.request = request_id{std::to_string(number)};
+            record.sequence.number = number;
+            fold_usage_record(state, record, 8);
+        }
+        THEN("the memory stays bounded")
+        {
+            CHECK(state.claimed_index.size() == 8);
+        }
+    }
+    GIVEN("an origin that is long gone")
+    {
+        record.sequence = {boot_id{9}, 1};
+        record.request = request_id{"later"};
+        record.finished += origin_memory + 1h;
+        fold_usage_record(state, record);
+        THEN("it is forgotten")
+        {
+            CHECK(state.origins.size() == 1);
+        }
+    }
+}
+
+SCENARIO("totals outlast the log's retention")
+{
+    usage_world world{2};
+    usage_rollup rollup{world.loop, world.log.service(), {}};
+    rollup.start();
+    std::uint64_t requests = 0;
+    for (int hour = 0; hour < 3; ++hour) {
+        for (int index = 0; index < 50; ++index) {
+            REQUIRE(world.bill(boot_id{1}, "r" + std::to_string(requests++)));
+        }
+        world.loop.advance(1h);
+        world.log.trim(usage_stream(), world.log.read_now({usage_stream(), log_offset{1}, 0}).next);
+    }
+    CHECK(rollup.written() > 10);
+    CHECK(world.billed() == requests);
+    CHECK(world.totals().lost_to_trimming == 0);
+
+    GIVEN("records that were trimmed before any roll-up")
+    {
+        rollup.stop();
+        REQUIRE(world.bill(boot_id{1}, "lost"));
+        world.loop.advance(10s);
+        world.log.trim(usage_stream(), world.log.read_now({usage_stream(), log_offset{1}, 0}).next);
+        THEN("the totals say so")
+        {
+            CHECK(world.totals().lost_to_trimming == 1);
+        }
+    }
+}
+
+SCENARIO("billed_once holds over random deaths, lost messages and lost answers")
+{
+    for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+        // Answers wait for a second VM however long it takes, as an answer let go without one is not promised a bill.
+        usage_world world{4, seed, 1h};
+        world.lost_messages = 0.2;
+        world.log.set_faults({false, 0.1 + 0.4 * static_cast<double>(seed % 5) / 4.0, 20ms});
+        std::uint64_t next_boot = 5;
+        for (std::uint64_t round = 0; round < 30; ++round) {
+            const auto vm =
+                std::next(world.vms.begin(), static_cast<std::ptrdiff_t>(world.random() % world.vms.size()));
+            REQUIRE(world.bill(vm->first, std::to_string(round)));
+            world.loop.advance(std::chrono::milliseconds{world.random() % 1500});
+            if (world.random() % 8 == 0) {
+                world.kill(world.vms.begin()->first);
+                world.boot(boot_id{next_boot++});
+                // A second death within the hold's timeouts could take the last two VMs with a record.
+                world.loop.advance(5s);
+            }
+            if (world.random() % 10 == 0) {
+                world.log.set_faults({!world.log.faults().down, 0.3, 20ms});
+            }
+        }
+        world.log.set_faults({});
+        world.loop.advance(10min);
+        std::map<std::string, int> bills;
+        usage_fold_state state;
+        for (const log_record& payload : world.log.read_now({usage_stream(), log_offset{1}, 100'000}).records) {
+            const usage_record record = decode<usage_record>(payload.payload).value();
+            bills[record.request.value()] += fold_usage_record(state, record) ? 1 : 0;
+        }
+        for (const auto& [request, answers] : world.answered) {
+            INFO("billed_once, seed " << seed << ", request " << request);
+            REQUIRE(answers <= 1);
+            REQUIRE(bills[request] == answers);
+        }
+    }
+}
