--- a/include/agatespar/ledger/claim_owner.h
+++ b/include/agatespar/ledger/claim_owner.h
@@ -4,11 +4,13 @@
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/ledger/ledger_messages.h>
 #include <agatespar/ledger/ledger_settings.h>
+#include <agatespar/ledger/partition_reader.h>
 #include <agatespar/ledger/partition_state.h>
 #include <agatespar/platform/log_service.h>
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 
 namespace agatespar {
@@ -40,17 +42,48 @@
     /// Serves a request; the reply comes once, or never if the owner is destroyed.
     void serve(const ledger_request& request, reply_function reply);
 
-    ledger_partition partition() const;
+    ledger_partition partition() const { return partition_; }
     /// @return whether the partition's whole window has been read.
     bool ready() const;
     /// @return the number of requests without a reply; a planned stop waits for zero.
-    std::size_t waiting() const;
+    std::size_t waiting() const { return waiting_.size(); }
     claim_owner_counters counters() const;
     const partition_state& state() const;
 
 private:
-    class impl;
-    std::shared_ptr<impl> impl_;
+    struct waiting_request;
+
+    template <class Call>
+    void later(duration delay, Call call);
+    void tick();
+    void on_pass(bool ok);
+    void resolve_all();
+    bool resolve(waiting_request& request);
+    void answer(const waiting_request& request, const key_judgement& judgement);
+    void answer_finished(const waiting_request& request, log_offset outcome_at);
+    void schedule_flush();
+    void flush();
+    void on_appended(bool ok);
+    void drop_given_up();
+    void write_snapshot_if_due();
+    void refuse(std::uint64_t ticket, const reply_function& reply);
+
+    event_loop& loop_;
+    log_service log_;
+    ledger_partition partition_;
+    ledger_settings settings_;
+    std::shared_ptr<partition_reader> reader_;
+    std::list<waiting_request> waiting_;
+    bool append_under_way_{false};
+    bool flush_scheduled_{false};
+    bool retry_scheduled_{false};
+    bool snapshot_under_way_{false};
+    steady_time next_append_;
+    steady_time last_snapshot_;
+    log_offset snapshot_next_{1};
+    claim_owner_counters counters_;
+    /// Expires with the object, for callbacks that come later.
+    std::shared_ptr<const bool> alive_{std::make_shared<const bool>(true)};
 };
 
 } // namespace agatespar
--- a/lib/ledger/claim_owner.cpp
+++ b/lib/ledger/claim_owner.cpp
@@ -2,19 +2,16 @@
 #include <agatespar/ledger/claim_owner.h>
 #include <agatespar/ledger/ledger_snapshot.h>
 #include <agatespar/ledger/owner_decision.h>
-#include <agatespar/ledger/partition_reader.h>
 
 #include <algorithm>
-#include <list>
+#include <utility>
 
 namespace agatespar {
 
 // The next try to read after the log did not answer.
 static constexpr std::chrono::milliseconds read_retry_interval{250};
 
-namespace {
-
-struct waiting_request {
+struct claim_owner::waiting_request {
     ledger_operation operation{ledger_operation::look_up};
     std::uint64_t ticket{0};
     ledger_record record;
@@ -26,92 +23,52 @@
     bool appending{false};
 };
 
-} // namespace
-
-class claim_owner::impl : public std::enable_shared_from_this<claim_owner::impl> {
-public:
-    impl(event_loop& loop, log_service log, ledger_partition partition, ledger_settings settings)
-        : loop_(loop), log_(std::move(log)), partition_(partition), settings_(settings)
-    {
-    }
-
-    void start();
-    void stop();
-    void serve(const ledger_request& request, reply_function reply);
-    claim_owner_counters counters() const;
-
-    ledger_partition partition() const { return partition_; }
-    bool ready() const { return reader_ && reader_->window(loop_.time().wall_now()) == window_state::complete; }
-    std::size_t waiting() const { return waiting_.size(); }
-    const partition_state& state() const { return reader_->state(); }
-
-private:
-    void tick();
-    void on_pass(bool ok);
-    void resolve_all();
-    bool resolve(waiting_request& request);
-    void answer(const waiting_request& request, const key_judgement& judgement);
-    void answer_finished(const waiting_request& request, log_offset outcome_at);
-    void schedule_flush();
-    void flush();
-    void on_appended(bool ok);
-    void drop_given_up();
-    void write_snapshot_if_due();
-    void refuse(std::uint64_t ticket, const reply_function& reply);
+claim_owner::claim_owner(event_loop& loop, log_service log, ledger_partition partition, ledger_settings settings)
+    : loop_(loop), log_(std::move(log)), partition_(partition), settings_(settings),
+      reader_(std::make_shared<partition_reader>(loop_, log_, partition_, settings_, [this](bool ok) { on_pass(ok); }))
+{
+}
 
-    event_loop& loop_;
-    log_service log_;
-    ledger_partition partition_;
-    ledger_settings settings_;
-    std::shared_ptr<partition_reader> reader_;
-    std::list<waiting_request> waiting_;
-    bool stopped_{false};
-    bool append_under_way_{false};
-    bool flush_scheduled_{false};
-    bool retry_scheduled_{false};
-    bool snapshot_under_way_{false};
-    steady_time next_append_;
-    steady_time last_snapshot_;
-    log_offset snapshot_next_{1};
-    claim_owner_counters counters_;
-};
+claim_owner::~claim_owner()
+{
+    reader_->stop();
+}
 
-void claim_owner::impl::start()
+template <class Call>
+void claim_owner::later(duration delay, Call call)
 {
-    last_snapshot_ = loop_.time().now();
-    const std::weak_ptr<impl> weak = weak_from_this();
-    reader_ = std::make_shared<partition_reader>(loop_, log_, partition_, settings_, [weak](bool ok) {
-        if (const auto self = weak.lock()) {
-            self->on_pass(ok);
+    loop_.schedule(delay, [this, alive = std::weak_ptr(alive_), call] {
+        if (!alive.expired()) {
+            call(*this);
         }
     });
-    tick();
 }
 
-void claim_owner::impl::stop()
+bool claim_owner::ready() const
 {
-    stopped_ = true;
-    if (reader_) {
-        reader_->stop();
-    }
+    return reader_->window(loop_.time().wall_now()) == window_state::complete;
 }
 
-void claim_owner::impl::tick()
+const partition_state& claim_owner::state() const
+{
+    return std::as_const(*reader_).state();
+}
+
+void claim_owner::start()
+{
+    last_snapshot_ = loop_.time().now();
+    tick();
+}
+
+void claim_owner::tick()
 {
-    if (stopped_) {
-        return;
-    }
     drop_given_up();
     forget_old_keys(reader_->state(), loop_.time().wall_now(), settings_);
     reader_->catch_up();
-    loop_.schedule(settings_.tail_interval, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->tick();
-        }
-    });
+    later(settings_.tail_interval, [](claim_owner& self) { self.tick(); });
 }
 
-void claim_owner::impl::refuse(std::uint64_t ticket, const reply_function& reply)
+void claim_owner::refuse(std::uint64_t ticket, const reply_function& reply)
 {
     ++counters_.refused;
     reply(ledger_answer{ticket, ledger_verdict::refused, {}, {}});
@@ -133,12 +90,12 @@
     return false;
 }
 
-void claim_owner::impl::serve(const ledger_request& request, reply_function reply)
+void claim_owner::serve(const ledger_request& request, reply_function reply)
 {
     auto record = decode_record(request.record);
     const bool valid =
         record && partition_of(key_of(*record)) == partition_ && carries_its_record(request.operation, *record);
-    if (!valid || !reader_ || waiting_.size() >= settings_.max_waiting) {
+    if (!valid || waiting_.size() >= settings_.max_waiting) {
         refuse(request.ticket, reply);
         return;
     }
@@ -158,7 +115,7 @@
     }
 }
 
-bool claim_owner::impl::resolve(waiting_request& request)
+bool claim_owner::resolve(waiting_request& request)
 {
     if (request.queued || request.appending) {
         return false;
@@ -182,14 +139,14 @@
     return false;
 }
 
-void claim_owner::impl::resolve_all()
+void claim_owner::resolve_all()
 {
     for (auto entry = waiting_.begin(); entry != waiting_.end();) {
         entry = resolve(*entry) ? waiting_.erase(entry) : std::next(entry);
     }
 }
 
-void claim_owner::impl::answer(const waiting_request& request, const key_judgement& judgement)
+void claim_owner::answer(const waiting_request& request, const key_judgement& judgement)
 {
     if (judgement.verdict == ledger_verdict::finished && request.operation != ledger_operation::record_outcome) {
         answer_finished(request, judgement.outcome_at);
@@ -220,7 +177,7 @@
     return answer;
 }
 
-void claim_owner::impl::answer_finished(const waiting_request& request, log_offset outcome_at)
+void claim_owner::answer_finished(const waiting_request& request, log_offset outcome_at)
 {
     ++counters_.reads;
     log_.read({ledger_stream(partition_), outcome_at, 1},
@@ -228,20 +185,16 @@
                   const outcome<read_batch>& batch) { reply(outcome_answer(ticket, key, outcome_at, batch)); });
 }
 
-void claim_owner::impl::schedule_flush()
+void claim_owner::schedule_flush()
 {
     if (flush_scheduled_ || append_under_way_) {
         return;
     }
     flush_scheduled_ = true;
-    loop_.schedule(next_append_ - loop_.time().now(), [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->flush();
-        }
-    });
+    later(next_append_ - loop_.time().now(), [](claim_owner& self) { self.flush(); });
 }
 
-void claim_owner::impl::flush()
+void claim_owner::flush()
 {
     flush_scheduled_ = false;
     append_request batch{ledger_stream(partition_), {}};
@@ -252,21 +205,21 @@
             batch.payloads.push_back(encode_record(request.record));
         }
     }
-    if (stopped_ || batch.payloads.empty()) {
+    if (batch.payloads.empty()) {
         return;
     }
     append_under_way_ = true;
     next_append_ = loop_.time().now() + settings_.append_interval;
     ++counters_.appends;
     counters_.appended_records += batch.payloads.size();
-    log_.append(std::move(batch), [weak = weak_from_this()](const outcome<append_receipt>& receipt) {
-        if (const auto self = weak.lock()) {
-            self->on_appended(receipt.has_value());
+    log_.append(std::move(batch), [this, alive = std::weak_ptr(alive_)](const outcome<append_receipt>& receipt) {
+        if (!alive.expired()) {
+            on_appended(receipt.has_value());
         }
     });
 }
 
-void claim_owner::impl::on_appended(bool ok)
+void claim_owner::on_appended(bool ok)
 {
     append_under_way_ = false;
     if (!ok) {
@@ -286,11 +239,8 @@
     }
 }
 
-void claim_owner::impl::on_pass(bool ok)
+void claim_owner::on_pass(bool ok)
 {
-    if (stopped_) {
-        return;
-    }
     resolve_all();
     if (ok) {
         write_snapshot_if_due();
@@ -300,15 +250,13 @@
         return;
     }
     retry_scheduled_ = true;
-    loop_.schedule(read_retry_interval, [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-            self->retry_scheduled_ = false;
-            self->reader_->catch_up();
-        }
+    later(read_retry_interval, [](claim_owner& self) {
+        self.retry_scheduled_ = false;
+        self.reader_->catch_up();
     });
 }
 
-void claim_owner::impl::drop_given_up()
+void claim_owner::drop_given_up()
 {
     const steady_time now = loop_.time().now();
     for (auto entry = waiting_.begin(); entry != waiting_.end();) {
@@ -321,7 +269,7 @@
     }
 }
 
-void claim_owner::impl::write_snapshot_if_due()
+void claim_owner::write_snapshot_if_due()
 {
     const partition_state& state = reader_->state();
     const steady_time now = loop_.time().now();
@@ -336,68 +284,21 @@
     last_snapshot_ = now;
     snapshot_next_ = state.next;
     log_.append({ledger_snapshot_stream(partition_), encode_snapshot(state)},
-                [weak = weak_from_this()](const outcome<append_receipt>& receipt) {
-                    if (const auto self = weak.lock()) {
-                        self->snapshot_under_way_ = false;
-                        self->counters_.snapshots_written += receipt ? 1 : 0;
+                [this, alive = std::weak_ptr(alive_)](const outcome<append_receipt>& receipt) {
+                    if (!alive.expired()) {
+                        snapshot_under_way_ = false;
+                        counters_.snapshots_written += receipt ? 1 : 0;
                     }
                 });
 }
 
-claim_owner_counters claim_owner::impl::counters() const
+claim_owner_counters claim_owner::counters() const
 {
     claim_owner_counters all = counters_;
-    if (reader_) {
-        all.reads += reader_->counters().reads;
-        all.folded_records = reader_->counters().folded_records;
-        all.recoveries = reader_->counters().recoveries;
-    }
+    all.reads += reader_->counters().reads;
+    all.folded_records = reader_->counters().folded_records;
+    all.recoveries = reader_->counters().recoveries;
     return all;
 }
 
-claim_owner::claim_owner(event_loop& loop, log_service log, ledger_partition partition, ledger_settings settings)
-    : impl_(std::make_shared<impl>(loop, std::move(log), partition, settings))
-{
-}
-
-claim_owner::~claim_owner()
-{
-    impl_->stop();
-}
-
-void claim_owner::start()
-{
-    impl_->start();
-}
-
-void claim_owner::serve(const ledger_request& request, reply_function reply)
-{
-    impl_->serve(request, std::move(reply));
-}
-
-ledger_partition claim_owner::partition() const
-{
-    return impl_->partition();
-}
-
-bool claim_owner::ready() const
-{
-    return impl_->ready();
-}
-
-std::size_t claim_owner::waiting() const
-{
-    return impl_->waiting();
-}
-
-claim_owner_counters claim_owner::counters() const
-{
-    return impl_->counters();
-}
-
-const partition_state& claim_owner::state() const
-{
-    return impl_->state();
-}
-
 } // namespace agatespar
