Bring each accepted configuration to every VM of a zone

A VM reads the log itself when its peers fall silent. The number never falls, and a peer that holds another hash for the same number is refused and counted.

--- a/include/agatespar/config/fold.h
+++ b/include/agatespar/config/fold.h
@@ -4,6 +4,7 @@
 #include <agatespar/config/configuration.h>
 #include <agatespar/config/patch.h>
 #include <agatespar/platform/log_service.h>
+#include <agatespar/support/clock.h>
 
 #include <cstdint>
 #include <deque>
@@ -71,10 +72,17 @@
 /// @return "accepted", "conflict", ... for people and scripts.
 std::string_view to_string(verdict_kind kind);
 
-/// @return the state as one JSON record of the `config-snapshot` stream.
-std::string format_snapshot(const fold_state& state);
+/// A state as it stands in the `config-snapshot` stream.
+struct config_snapshot {
+    fold_state state;
+    /// When it was written, by the writer's calendar.
+    wall_time written_at;
+};
+
+/// @return the snapshot as one JSON record.
+std::string format_snapshot(const config_snapshot& snapshot);
 
-/// @param text untrusted JSON. @return the state, malformed, or conflict if it was folded by newer rules.
-outcome<fold_state> parse_snapshot(std::string_view text);
+/// @param text untrusted JSON. @return the snapshot, malformed, or conflict if it was folded by newer rules.
+outcome<config_snapshot> parse_snapshot(std::string_view text);
 
 } // namespace agatespar
--- /dev/null
+++ b/include/agatespar/config/snapshot_store.h
@@ -0,0 +1,80 @@
+// Reading and writing of the `config-snapshot` stream.
+#pragma once
+
+#include <agatespar/config/config_reader.h>
+#include <agatespar/config/fold.h>
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/platform/log_service.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+
+namespace agatespar {
+
+/// The newest readable snapshot, if there is any.
+struct found_snapshot {
+    std::optional<config_snapshot> snapshot;
+    /// Bytes of all records that were read to find it.
+    std::size_t bytes{0};
+};
+
+/// Finds the newest snapshot that this program can read; it steps back over a few that it can't.
+void read_newest_snapshot(const log_service& log, std::function<void(outcome<found_snapshot>)> callback);
+
+struct snapshot_writer_settings {
+    /// A snapshot is due after this many more records,
+    std::uint64_t max_records{256};
+    /// or after this time, also without records, as the stream's own records expire: well inside the log's retention.
+    std::chrono::milliseconds max_age{std::chrono::hours{6}};
+    /// How often the writer looks whether a snapshot is due.
+    std::chrono::milliseconds check_interval{10'000};
+    /// Owners wait for a random part of this, so that mostly one of them writes.
+    std::chrono::milliseconds spread{60'000};
+};
+
+struct snapshot_writer_counters {
+    std::uint64_t written{0};
+    /// Another VM had written meanwhile.
+    std::uint64_t spared{0};
+    std::uint64_t failed{0};
+    std::uint64_t bytes_read{0};
+};
+
+/// Writes a snapshot when one is due. Runs on every VM and acts while the VM tails the log.
+class snapshot_writer {
+public:
+    /// All references must outlive the writer.
+    snapshot_writer(event_loop& loop, log_service log, const config_reader& reader,
+                    const snapshot_writer_settings& settings, std::mt19937_64& random);
+    snapshot_writer(const snapshot_writer&) = delete;
+    snapshot_writer& operator=(const snapshot_writer&) = delete;
+    ~snapshot_writer();
+
+    void start();
+    const snapshot_writer_counters& counters() const { return counters_; }
+
+private:
+    void check();
+    bool due() const;
+    void write_unless_spared(const outcome<found_snapshot>& found);
+    void note(const config_snapshot& snapshot);
+
+    event_loop& loop_;
+    log_service log_;
+    const config_reader& reader_;
+    snapshot_writer_settings settings_;
+    std::mt19937_64& random_;
+    snapshot_writer_counters counters_;
+    /// What is known of the newest snapshot.
+    log_offset newest_covers_;
+    wall_time newest_written_;
+    bool busy_{false};
+    timer_id timer_;
+    std::shared_ptr<const bool> alive_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/config/config_reader_peers.cpp
@@ -0,0 +1,194 @@
+// The reader's dealings with its peers, and what it tells its daemon.
+#include <agatespar/config/config_reader.h>
+
+#include <algorithm>
+#include <string>
+
+namespace agatespar {
+
+// An announcement that would be larger only names the mark, and the others pull.
+static constexpr std::size_t max_announced_bytes = 4096;
+
+static std::size_t size_of(const config_state& message)
+{
+    std::size_t bytes = message.snapshot.size();
+    for (const config_record& record : message.records) {
+        bytes += record.payload.size();
+    }
+    return bytes;
+}
+
+duration config_reader::contact_age() const
+{
+    return loop_.time().now() - last_contact_;
+}
+
+config_mark config_reader::mark() const
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(contact_age());
+    return {settings_.self,
+            state_.current->number,
+            state_.current->chain_hash,
+            state_.covers,
+            ready_,
+            static_cast<std::uint64_t>(age.count())};
+}
+
+config_state config_reader::answer(const config_pull& pull)
+{
+    ++counters_.pulls_answered;
+    return answer_pull(state_, history_, pull, mark());
+}
+
+void config_reader::pull_from(boot_id peer)
+{
+    const steady_time now = loop_.time().now();
+    if (pull_sent_ && now - *pull_sent_ < settings_.pull_timeout) {
+        return;
+    }
+    pull_sent_ = now;
+    ++counters_.pulls;
+    seams_.send_pull(peer, {state_.covers});
+}
+
+bool config_reader::is_behind(const config_mark& mark) const
+{
+    // A record of newer rules stops this program for good: no peer can help it over.
+    if (state_.stopped_by_rules != 0) {
+        return false;
+    }
+    return mark.number > state_.current->number || (trimmed_ && mark.covers > state_.covers);
+}
+
+void config_reader::note_peer(const config_mark& mark)
+{
+    if (mark.holder == settings_.self) {
+        return;
+    }
+    if (mark.ready) {
+        last_peer_ = loop_.time().now();
+    }
+    if (mark.number == state_.current->number && mark.chain_hash != state_.current->chain_hash) {
+        count(adoption::hash_mismatch, mark);
+        return;
+    }
+    trust(mark);
+    if (is_behind(mark)) {
+        pull_from(mark.holder);
+    }
+}
+
+void config_reader::trust(const config_mark& mark)
+{
+    if (!mark.ready || mark.number > state_.current->number) {
+        return;
+    }
+    note_contact(loop_.time().now() -
+                 std::chrono::milliseconds{std::min<std::uint64_t>(mark.contact_age_ms, INT32_MAX)});
+    become_ready();
+}
+
+void config_reader::take_state(const config_state& message)
+{
+    counters_.peer_bytes += size_of(message);
+    const auto before = state_.current;
+    std::vector<fold_result> folded;
+    const adoption result = adopt_state(state_, history_, message, folded);
+    for (const fold_result& one : folded) {
+        count(one);
+    }
+    count(result, message.mark);
+    need_snapshot_ = need_snapshot_ && state_.covers.value() == 0;
+    trimmed_ = trimmed_ && result != adoption::adopted;
+    publish(before);
+    if (result == adoption::gap) {
+        pull_from(message.mark.holder);
+        return;
+    }
+    pull_sent_.reset();
+    if (result == adoption::adopted || result == adoption::nothing_new) {
+        trust(message.mark);
+    }
+}
+
+void config_reader::count(const fold_result& result)
+{
+    if (result.repeated) {
+        ++counters_.repeated;
+        return;
+    }
+    const patch_verdict& verdict = result.verdict;
+    switch (verdict.kind) {
+    case verdict_kind::accepted:
+        ++counters_.accepted;
+        return;
+    case verdict_kind::conflict:
+        ++counters_.conflicts;
+        return;
+    case verdict_kind::invalid:
+        ++counters_.invalid;
+        return;
+    case verdict_kind::malformed:
+        ++counters_.malformed;
+        return;
+    case verdict_kind::too_new:
+        ++counters_.too_new;
+        return;
+    }
+}
+
+void config_reader::count(adoption result, const config_mark& /*mark*/)
+{
+    switch (result) {
+    case adoption::adopted:
+        ++counters_.states_adopted;
+        return;
+    case adoption::nothing_new:
+    case adoption::gap:
+        return;
+    case adoption::refused:
+        ++counters_.states_refused;
+        return;
+    case adoption::hash_mismatch:
+        ++counters_.hash_mismatches;
+        return;
+    }
+}
+
+void config_reader::publish(const std::shared_ptr<const configuration>& before)
+{
+    if (state_.current != before) {
+        seams_.changed(state_.current);
+    }
+}
+
+void config_reader::announce_records()
+{
+    if (!tailing_ || state_.covers == announced_) {
+        return;
+    }
+    config_state message = answer_pull(state_, history_, {announced_}, mark());
+    announced_ = state_.covers;
+    if (size_of(message) > max_announced_bytes) {
+        message.records.clear();
+        message.snapshot.clear();
+    }
+    if (ready_ && seams_.announce) {
+        seams_.announce(message);
+    }
+}
+
+void config_reader::note_contact(steady_time when)
+{
+    last_contact_ = std::max(last_contact_, when);
+}
+
+void config_reader::become_ready()
+{
+    if (ready_) {
+        return;
+    }
+    ready_ = true;
+}
+
+} // namespace agatespar
--- a/lib/config/snapshot.cpp
+++ b/lib/config/snapshot.cpp
@@ -7,7 +7,7 @@
 namespace agatespar {
 
 // A snapshot holds the whole configuration, of thousands of client accounts at the most.
-static constexpr std::size_t max_snapshot_bytes = 16 * 1024 * 1024;
+static constexpr std::size_t max_snapshot_bytes = 4 * 1024 * 1024;
 static constexpr std::size_t max_snapshot_depth = 16;
 
 namespace {
@@ -18,6 +18,7 @@
     log_offset covers;
     config_number number;
     std::uint64_t chain_hash{0};
+    std::chrono::milliseconds written_at{0};
     std::map<fleet_name, fleet_settings> fleets;
     std::vector<patch_verdict> verdicts;
 };
@@ -50,23 +51,27 @@
     archive.required("covers", value.covers);
     archive.required("number", value.number);
     archive.required("chain_hash", hash);
+    archive.optional("written_at_unix_ms", value.written_at);
     archive.required("fleets", value.fleets);
     archive.required("verdicts", value.verdicts);
     value.chain_hash = std::strtoull(hash.c_str(), nullptr, 10);
 }
 
-std::string format_snapshot(const fold_state& state)
+std::string format_snapshot(const config_snapshot& snapshot)
 {
-    const snapshot_record record{fold_rules,
-                                 state.covers,
-                                 state.current->number,
-                                 state.current->chain_hash,
-                                 state.current->fleets,
-                                 {state.verdicts.begin(), state.verdicts.end()}};
+    const fold_state& state = snapshot.state;
+    const snapshot_record record{
+        fold_rules,
+        state.covers,
+        state.current->number,
+        state.current->chain_hash,
+        std::chrono::duration_cast<std::chrono::milliseconds>(snapshot.written_at.time_since_epoch()),
+        state.current->fleets,
+        {state.verdicts.begin(), state.verdicts.end()}};
     return json_writer::write_value(record).dump();
 }
 
-outcome<fold_state> parse_snapshot(std::string_view text)
+outcome<config_snapshot> parse_snapshot(std::string_view text)
 {
     const outcome<nlohmann::json> document = parse_unique_json(text, max_snapshot_bytes, max_snapshot_depth);
     if (!document) {
@@ -91,7 +96,7 @@
     state.covers = record.covers;
     state.current = std::make_shared<const configuration>(std::move(config));
     state.verdicts.assign(record.verdicts.begin(), record.verdicts.end());
-    return state;
+    return config_snapshot{std::move(state), wall_time{record.written_at}};
 }
 
 } // namespace agatespar
--- /dev/null
+++ b/unittests/config/config_reader_test.cpp
@@ -0,0 +1,314 @@
+// Tests of how configurations reach every VM, through outages, trimming and contradicting peers.
+#include "fake_zone.h"
+#include "sample_patches.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <iostream>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+static constexpr std::size_t zone_vms = 68;
+static constexpr std::chrono::seconds in_force_target{5};
+
+namespace {
+
+struct zone_fixture {
+    manual_event_loop loop;
+    memory_log log{loop, 7};
+    fake_zone zone{loop, log.service(), 11};
+    std::uint64_t number{0};
+
+    void append(const patch& change) { log.append_now({config_stream, {format_patch(change)}}); }
+
+    void add_owners_and_followers(std::size_t count, bool announcing)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            zone.add(announcing).reader->set_tailing(i < 2);
+        }
+    }
+
+    // Appends the next valid patch.
+    void change()
+    {
+        append(number == 0 ? two_fleets_patch("p0")
+                           : zone_patch("p" + std::to_string(number), number, number % 2 == 0));
+        ++number;
+    }
+
+    bool all_at(std::uint64_t wanted)
+    {
+        return std::all_of(zone.vms().begin(), zone.vms().end(),
+                           [wanted](const auto& vm) { return vm->reader->current()->number == config_number{wanted}; });
+    }
+
+    bool numbers_never_fell()
+    {
+        return std::all_of(zone.vms().begin(), zone.vms().end(),
+                           [](const auto& vm) { return std::is_sorted(vm->numbers.begin(), vm->numbers.end()); });
+    }
+};
+
+} // namespace
+
+// Changes the configuration 20 times. @return the longest time from acceptance to force on any VM.
+static duration slowest_spread(zone_fixture& f)
+{
+    f.zone.run(5s);
+    duration slowest{};
+    for (int i = 0; i < 20; ++i) {
+        f.change();
+        const steady_time accepted = f.loop.time().now();
+        f.zone.run(10s);
+        REQUIRE(f.all_at(f.number));
+        for (const auto& vm : f.zone.vms()) {
+            slowest = std::max(slowest, vm->in_force.at(f.number) - accepted);
+        }
+    }
+    return slowest;
+}
+
+static std::int64_t to_ms(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+}
+
+SCENARIO("an accepted change is in force on every VM of a zone within the target")
+{
+    zone_fixture f;
+    f.zone.lost_announcements = GENERATE(0.0, 0.3);
+    f.add_owners_and_followers(zone_vms, true);
+    const duration slowest = slowest_spread(f);
+    std::cout << "accepted to in force, " << zone_vms << " VMs, announcements lost " << f.zone.lost_announcements
+              << ": " << to_ms(slowest) << " ms at most\n";
+    CHECK(slowest <= in_force_target);
+    CHECK(f.numbers_never_fell());
+    for (const auto& vm : f.zone.vms()) {
+        CHECK(vm->reader->ready());
+        CHECK(vm->reader->counters().hash_mismatches == 0);
+    }
+}
+
+SCENARIO("heartbeats alone bring a change to every VM, if later than the target")
+{
+    zone_fixture f;
+    f.add_owners_and_followers(zone_vms, false);
+    std::cout << "accepted to in force, " << zone_vms << " VMs, heartbeats only: " << to_ms(slowest_spread(f))
+              << " ms at most\n";
+    CHECK(f.numbers_never_fell());
+}
+
+SCENARIO("a VM's reading stays small at a day's changes")
+{
+    constexpr std::uint64_t changes = 3'700;
+    // The whole allowance for control is 9 KB/s.
+    constexpr std::uint64_t control_bytes_a_day = 9'000ULL * 86'400;
+    zone_fixture f;
+    f.add_owners_and_followers(8, true);
+    f.zone.run(5s);
+    for (std::uint64_t i = 0; i < changes; ++i) {
+        f.change();
+        f.zone.run(2s);
+    }
+    REQUIRE(f.all_at(changes));
+    const auto& owner = f.zone.at(0);
+    const auto& follower = f.zone.at(5);
+    const std::uint64_t owner_bytes =
+        owner.reader->counters().log_bytes + owner.writer->counters().bytes_read + owner.bytes_in;
+    std::cout << "bytes read at " << changes << " changes: owner " << owner_bytes << ", follower " << follower.bytes_in
+              << ", snapshots written " << owner.writer->counters().written + f.zone.at(1).writer->counters().written
+              << "\n";
+    CHECK(owner_bytes < control_bytes_a_day / 100);
+    CHECK(follower.bytes_in < control_bytes_a_day / 100);
+    CHECK(follower.reader->counters().log_bytes == 0);
+}
+
+SCENARIO("the log goes away for long and comes back")
+{
+    zone_fixture f;
+    f.add_owners_and_followers(12, true);
+    f.zone.run(5s);
+    f.change();
+    f.zone.run(10s);
+    REQUIRE(f.all_at(1));
+    WHEN("it is down")
+    {
+        log_faults faults;
+        faults.down = true;
+        f.log.set_faults(faults);
+        f.zone.run(600s);
+        THEN("every VM keeps its number and knows how old its knowledge is")
+        {
+            CHECK(f.all_at(1));
+            CHECK(f.zone.at(7).reader->contact_age() >= 590s);
+            CHECK(f.zone.at(7).reader->ready());
+        }
+        AND_WHEN("it is back with a change")
+        {
+            f.log.set_faults({});
+            f.change();
+            f.zone.run(in_force_target);
+            THEN("the change is in force within the target")
+            {
+                CHECK(f.all_at(2));
+                CHECK(f.zone.at(7).reader->contact_age() <= in_force_target);
+            }
+        }
+    }
+    WHEN("it is slow")
+    {
+        log_faults faults;
+        faults.delay = 3s;
+        f.log.set_faults(faults);
+        f.change();
+        f.zone.run(10s);
+        CHECK(f.all_at(2));
+    }
+    WHEN("the owners are cut off from their zone")
+    {
+        f.zone.at(0).cut_off = true;
+        f.zone.at(1).cut_off = true;
+        f.change();
+        f.zone.run(60s);
+        THEN("a follower looks at the log itself and the others learn from it")
+        {
+            CHECK(f.all_at(2));
+        }
+    }
+}
+
+SCENARIO("a fresh VM starts from a snapshot and the tail after it")
+{
+    zone_fixture f;
+    f.zone.writer_settings.max_records = 50;
+    f.add_owners_and_followers(4, true);
+    f.zone.run(5s);
+    for (int i = 0; i < 120; ++i) {
+        f.change();
+        f.zone.run(2s);
+    }
+    f.zone.run(120s);
+    const read_batch snapshots = f.log.read_now({config_snapshot_stream, log_offset{1}});
+    REQUIRE(!snapshots.records.empty());
+    const config_snapshot newest = *parse_snapshot(snapshots.records.back().payload);
+    GIVEN("a log that still keeps what follows the snapshot")
+    {
+        for (int i = 0; i < 10; ++i) {
+            f.change();
+        }
+        f.log.trim(config_stream, log_offset{newest.state.covers.value() + 1});
+        fake_zone alone{f.loop, f.log.service(), 3};
+        alone.add().reader->set_tailing(true);
+        const steady_time start = f.loop.time().now();
+        alone.run(2s);
+        const config_reader& reader = *alone.at(0).reader;
+        CHECK(reader.ready());
+        CHECK(reader.current()->number == config_number{f.number});
+        CHECK(reader.counters().snapshots_loaded == 1);
+        CHECK(reader.counters().accepted + newest.state.current->number.value() == f.number);
+        std::cout
+            << "start from snapshot and tail: "
+            << std::chrono::duration_cast<std::chrono::milliseconds>(alone.at(0).in_force.at(f.number) - start).count()
+            << " ms, " << reader.counters().log_bytes << " bytes\n";
+    }
+    GIVEN("a log that was trimmed past the snapshot's own position")
+    {
+        f.change();
+        f.zone.run(5s);
+        f.log.trim(config_stream, log_offset{newest.state.covers.value() + 2});
+        WHEN("the VM is alone")
+        {
+            fake_zone alone{f.loop, f.log.service(), 3};
+            alone.add().reader->set_tailing(true);
+            alone.run(30s);
+            const config_reader& reader = *alone.at(0).reader;
+            THEN("it is not ready, and folds nothing on over the gap")
+            {
+                CHECK(!reader.ready());
+                CHECK(reader.counters().trimmed == 1);
+                CHECK(reader.state().covers == newest.state.covers);
+            }
+            AND_WHEN("a later snapshot stands")
+            {
+                const config_snapshot later{f.zone.at(0).reader->state(), wall_time{}};
+                f.log.append_now({config_snapshot_stream, {format_snapshot(later), format_snapshot(later), "junk"}});
+                alone.run(10s);
+                CHECK(reader.ready());
+                CHECK(reader.current()->number == config_number{f.number});
+            }
+        }
+        WHEN("it has peers")
+        {
+            fake_zone::vm& fresh = f.zone.add();
+            fresh.reader->set_tailing(true);
+            f.zone.run(10s);
+            CHECK(fresh.reader->ready());
+            CHECK(fresh.reader->current()->number == config_number{f.number});
+        }
+    }
+}
+
+SCENARIO("bad records and newer rules never move a VM wrongly")
+{
+    zone_fixture f;
+    f.add_owners_and_followers(6, true);
+    f.change();
+    f.log.append_now(
+        {config_stream, {"junk", format_patch(two_fleets_patch("p0")), format_patch(zone_patch("x", 0, true))}});
+    f.change();
+    f.zone.run(10s);
+    REQUIRE(f.all_at(2));
+    CHECK(f.zone.at(0).reader->counters().malformed == 1);
+    CHECK(f.zone.at(0).reader->counters().repeated == 1);
+    CHECK(f.zone.at(0).reader->counters().conflicts == 1);
+    f.log.append_now({config_stream, {R"({"rules":2})"}});
+    f.change();
+    f.zone.run(60s);
+    CHECK(f.all_at(2));
+    CHECK(f.zone.at(0).reader->counters().too_new == 1);
+    CHECK(f.zone.at(0).reader->state().stopped_by_rules == 2);
+}
+
+SCENARIO("a peer that contradicts is refused")
+{
+    zone_fixture f;
+    f.add_owners_and_followers(3, true);
+    f.change();
+    f.change();
+    f.zone.run(10s);
+    config_reader& reader = *f.zone.at(2).reader;
+    config_mark wrong = f.zone.at(0).reader->mark();
+    wrong.chain_hash += 1;
+    reader.note_peer(wrong);
+    CHECK(reader.counters().hash_mismatches == 1);
+
+    GIVEN("a fold of another history")
+    {
+        fold_state other;
+        record_history history;
+        for (std::uint64_t i = 0; i < 4; ++i) {
+            const log_record record{
+                log_offset{i + 1},
+                format_patch(i == 0 ? two_fleets_patch("q0") : zone_patch("q" + std::to_string(i), i, false))};
+            fold(other, record);
+            history.add(record);
+        }
+        const config_mark mark{boot_id{9}, other.current->number, other.current->chain_hash, other.covers, true, 0};
+        reader.take_state(answer_pull(other, history, {log_offset{2}}, mark));
+        THEN("its records lead to another hash and are not taken")
+        {
+            CHECK(reader.counters().hash_mismatches == 2);
+            CHECK(reader.current()->number == config_number{2});
+        }
+        THEN("an older snapshot does not make the number fall")
+        {
+            config_state old = answer_pull(other, record_history{}, {log_offset{0}}, mark);
+            old.mark.number = config_number{1};
+            reader.take_state(old);
+            CHECK(reader.counters().states_refused == 1);
+            CHECK(reader.current()->number == config_number{2});
+        }
+    }
+}
--- a/unittests/config/fold_test.cpp
+++ b/unittests/config/fold_test.cpp
@@ -146,14 +146,14 @@
     fold_state state = sample_state();
     fold_patch(state, zone_patch("p2", 1, false));
     fold_patch(state, zone_patch("p3", 1, false));
-    const std::string text = format_snapshot(state);
-    outcome<fold_state> read = parse_snapshot(text);
+    const std::string text = format_snapshot({state, wall_time{}});
+    outcome<config_snapshot> read = parse_snapshot(text);
     REQUIRE(read);
     CHECK(format_snapshot(*read) == text);
-    CHECK(read->current->fleets == state.current->fleets);
-    CHECK(read->current->chain_hash == state.current->chain_hash);
-    CHECK(fold_patch(*read, zone_patch("p3", 2, true)).verdict.kind == verdict_kind::conflict);
-    CHECK(find_account_by_key_hash(*read->current, hash_key("key-k")) != nullptr);
+    CHECK(read->state.current->fleets == state.current->fleets);
+    CHECK(read->state.current->chain_hash == state.current->chain_hash);
+    CHECK(fold_patch(read->state, zone_patch("p3", 2, true)).verdict.kind == verdict_kind::conflict);
+    CHECK(find_account_by_key_hash(*read->state.current, hash_key("key-k")) != nullptr);
     CHECK(parse_snapshot(R"({"rules":9})").error().code == error_code::conflict);
     CHECK(parse_snapshot("{}").error().code == error_code::malformed);
 }
