Submit patches without guessing, and show operators what clashes

After a lost answer the submission reads the log until it sees its own patch id, sends the same patch again under that id, or proves a conflict from the number having moved on; otherwise it says that the outcome is unknown.

--- /dev/null
+++ b/lib/config/submit.cpp
@@ -0,0 +1,218 @@
+// The submission of a patch, up to a verdict that the log proves.
+#include "log_catch_up.h"
+
+#include <agatespar/config/config_reader.h>
+#include <agatespar/config/submit.h>
+
+#include <cassert>
+#include <utility>
+
+namespace agatespar {
+
+void fetch_state(event_loop& loop, const log_service& log, const log_access_settings& settings,
+                 std::function<void(outcome<fold_state>)> callback)
+{
+    const auto reading = std::make_shared<log_catch_up>(loop, log, settings);
+    const timer_id timer = loop.schedule(settings.give_up, [reading, callback] {
+        reading->stop();
+        callback(failure(error_code::unavailable, "the log can't be read: " + reading->last_error().message));
+    });
+    reading->run([&loop, timer, reading, callback](const outcome<void>& result) {
+        loop.cancel(timer);
+        reading->stop();
+        if (!result) {
+            callback(tl::make_unexpected(result.error()));
+            return;
+        }
+        callback(reading->state());
+    });
+}
+
+namespace {
+
+// One submission; it lives until its report.
+class submission : public std::enable_shared_from_this<submission> {
+public:
+    submission(event_loop& loop, log_service log, patch change, const log_access_settings& settings,
+               std::function<void(submit_report)> callback)
+        : loop_(loop), log_(std::move(log)), change_(std::move(change)), settings_(settings),
+          callback_(std::move(callback)), reading_(std::make_shared<log_catch_up>(loop, log_, settings))
+    {
+    }
+
+    void start()
+    {
+        deadline_ = loop_.schedule(settings_.give_up, [self = shared_from_this()] { self->give_up(); });
+        read_on();
+    }
+
+private:
+    void read_on();
+    void take_state(const outcome<void>& result);
+    void append();
+    void give_up();
+    void finish(submit_status status, std::string reason);
+    bool finish_if_judged();
+
+    event_loop& loop_;
+    log_service log_;
+    patch change_;
+    log_access_settings settings_;
+    std::function<void(submit_report)> callback_;
+    std::shared_ptr<log_catch_up> reading_;
+    timer_id deadline_;
+    unsigned appends_{0};
+    bool append_failed_{true};
+    bool done_{false};
+};
+
+} // namespace
+
+static submit_status status_of(verdict_kind kind)
+{
+    switch (kind) {
+    case verdict_kind::accepted:
+        return submit_status::accepted;
+    case verdict_kind::conflict:
+        return submit_status::conflict;
+    case verdict_kind::invalid:
+    case verdict_kind::malformed:
+        return submit_status::invalid;
+    case verdict_kind::too_new:
+        return submit_status::too_new;
+    }
+    assert(false && "every verdict has a status");
+    return submit_status::unknown;
+}
+
+void submission::read_on()
+{
+    reading_->run([self = shared_from_this()](const outcome<void>& result) { self->take_state(result); });
+}
+
+void submission::take_state(const outcome<void>& result)
+{
+    if (done_) {
+        return;
+    }
+    if (!result) {
+        finish(appends_ == 0 ? submit_status::unreachable : submit_status::unknown, result.error().message);
+        return;
+    }
+    if (finish_if_judged()) {
+        return;
+    }
+    if (append_failed_) {
+        append();
+        return;
+    }
+    // The append was confirmed, so the record is about to be readable.
+    loop_.schedule(settings_.retry, [self = shared_from_this()] {
+        if (!self->done_) {
+            self->read_on();
+        }
+    });
+}
+
+bool submission::finish_if_judged()
+{
+    const fold_state& state = reading_->state();
+    if (const patch_verdict* verdict = find_verdict(state, change_.id); verdict != nullptr) {
+        finish(status_of(verdict->kind), verdict->reason);
+        return true;
+    }
+    if (state.stopped_by_rules != 0) {
+        finish(submit_status::too_new, "the log needs fold rules " + std::to_string(state.stopped_by_rules) +
+                                           ", this program has " + std::to_string(fold_rules));
+        return true;
+    }
+    // Once the number has moved on, this patch can only ever be a conflict, wherever it may still turn up.
+    if (state.current->number != change_.base) {
+        finish(submit_status::conflict, "written against " + std::to_string(change_.base.value()) + ", current is " +
+                                            std::to_string(state.current->number.value()));
+        return true;
+    }
+    if (appends_ > 0) {
+        return false;
+    }
+    const outcome<configuration> tried = apply_patch(*state.current, change_);
+    if (!tried) {
+        finish(submit_status::invalid, tried.error().message);
+    }
+    return !tried;
+}
+
+void submission::append()
+{
+    ++appends_;
+    log_.append({config_stream, {format_patch(change_)}},
+                [self = shared_from_this()](const outcome<append_receipt>& receipt) {
+                    if (self->done_) {
+                        return;
+                    }
+                    self->append_failed_ = !receipt;
+                    const auto pause = receipt ? std::chrono::milliseconds::zero() : self->settings_.retry;
+                    self->loop_.schedule(pause, [self] {
+                        if (!self->done_) {
+                            self->read_on();
+                        }
+                    });
+                });
+}
+
+void submission::give_up()
+{
+    if (appends_ == 0) {
+        finish(submit_status::unreachable, "the log can't be read: " + reading_->last_error().message);
+        return;
+    }
+    finish(submit_status::unknown, "the log does not tell what became of the patch");
+}
+
+void submission::finish(submit_status status, std::string reason)
+{
+    done_ = true;
+    loop_.cancel(deadline_);
+    reading_->stop();
+    submit_report report{change_.id, status, reading_->state().current->number, std::move(reason), {}, appends_};
+    const patch_verdict* own = find_verdict(reading_->state(), change_.id);
+    if (status == submit_status::accepted) {
+        report.number = own->number;
+    }
+    for (const patch_verdict& verdict : reading_->state().verdicts) {
+        if (status == submit_status::conflict && verdict.kind == verdict_kind::accepted &&
+            verdict.number > change_.base) {
+            report.between.push_back(verdict);
+        }
+    }
+    const auto callback = std::exchange(callback_, nullptr);
+    callback(std::move(report));
+}
+
+void submit_patch(event_loop& loop, const log_service& log, const patch& change, const log_access_settings& settings,
+                  std::function<void(submit_report)> callback)
+{
+    std::make_shared<submission>(loop, log, change, settings, std::move(callback))->start();
+}
+
+std::string_view to_string(submit_status status)
+{
+    switch (status) {
+    case submit_status::accepted:
+        return "accepted";
+    case submit_status::conflict:
+        return "conflict";
+    case submit_status::invalid:
+        return "invalid";
+    case submit_status::too_new:
+        return "too_new";
+    case submit_status::unreachable:
+        return "unreachable";
+    case submit_status::unknown:
+        return "unknown";
+    }
+    assert(false && "every status has a name");
+    return "unknown";
+}
+
+} // namespace agatespar
