Add the stand-ins of the platform and of the backend servers

One program takes the place of the log service, an engine, a plain service, the VM list, the rating service or the weight store. Answers are fixed by prompt and version, so that tests can tell whole answers from broken or foreign ones, and faults are switched over an admin API.

--- a/include/agatespar/platform/http_log.h
+++ b/include/agatespar/platform/http_log.h
@@ -14,6 +14,6 @@
 
 /// Appends by POST <base>/v1/streams/<name>/records, reads by GET with `from`, `limit` and `wait_ms`.
 /// @param client copied; what it refers to must outlive the result. @param base_url e.g. "http://10.0.0.1:8080".
-log_service make_http_log(const http_client& client, std::string base_url, http_log_settings settings = {});
+log_service make_http_log(const http_client& client, const std::string& base_url, http_log_settings settings = {});
 
 } // namespace agatespar
--- a/include/agatespar/platform/http_rating_service.h
+++ b/include/agatespar/platform/http_rating_service.h
@@ -8,6 +8,6 @@
 
 /// Rates by POST <base>/v1/ratings.
 /// @param client copied; what it refers to must outlive the result. @param base_url e.g. "http://10.0.0.1:8080".
-rating_service make_http_rating_service(const http_client& client, std::string base_url);
+rating_service make_http_rating_service(const http_client& client, const std::string& base_url);
 
 } // namespace agatespar
--- a/include/agatespar/platform/http_weight_store.h
+++ b/include/agatespar/platform/http_weight_store.h
@@ -8,6 +8,6 @@
 
 /// Acquires by POST <base>/v1/grants.
 /// @param client copied; what it refers to must outlive the result. @param base_url e.g. "http://10.0.0.1:8080".
-weight_store make_http_weight_store(const http_client& client, std::string base_url);
+weight_store make_http_weight_store(const http_client& client, const std::string& base_url);
 
 } // namespace agatespar
--- a/include/agatespar/platform/soup_http_client.h
+++ b/include/agatespar/platform/soup_http_client.h
@@ -24,7 +24,7 @@
 class soup_http_client {
 public:
     /// @param loop times the calls out; it must outlive this object.
-    explicit soup_http_client(event_loop& loop, soup_http_settings settings = {});
+    explicit soup_http_client(event_loop& loop, const soup_http_settings& settings = {});
     soup_http_client(const soup_http_client&) = delete;
     soup_http_client& operator=(const soup_http_client&) = delete;
     ~soup_http_client();
--- a/lib/platform/completion_stream.cpp
+++ b/lib/platform/completion_stream.cpp
@@ -14,7 +14,7 @@
 {
 }
 
-void completion_stream::fail(error reason)
+void completion_stream::fail(const error& reason)
 {
     if (ended_) {
         return;
--- a/lib/platform/completion_stream.h
+++ b/lib/platform/completion_stream.h
@@ -30,7 +30,7 @@
     bool take_event(std::string_view data);
     void take_tokens(const nlohmann::json& event);
     void take_end(const nlohmann::json& event);
-    void fail(error reason);
+    void fail(const error& reason);
 
     attempt_id attempt_;
     token_offset next_offset_;
--- a/lib/platform/http_engine.cpp
+++ b/lib/platform/http_engine.cpp
@@ -65,8 +65,8 @@
     }
 }
 
-static cancel_handle start_completion(const http_client& client, engine_request request, engine_callbacks callbacks,
-                                      std::size_t max_event_bytes)
+static cancel_handle start_completion(const http_client& client, const engine_request& request,
+                                      engine_callbacks callbacks, std::size_t max_event_bytes)
 {
     auto call = std::make_shared<completion_call>(completion_call{
         completion_stream{request.attempt, request.resume_from, std::move(callbacks), max_event_bytes}, {}});
@@ -131,8 +131,8 @@
 engine_client make_http_engine(const http_client& client, http_engine_settings settings)
 {
     engine_client engine;
-    engine.start_completion = [client, settings](engine_request request, engine_callbacks callbacks) {
-        return start_completion(client, std::move(request), std::move(callbacks), settings.max_event_bytes);
+    engine.start_completion = [client, settings](const engine_request& request, engine_callbacks callbacks) {
+        return start_completion(client, request, std::move(callbacks), settings.max_event_bytes);
     };
     engine.poll_load = [client, settings](const std::string& server_url, load_callback callback) {
         http_request call;
--- a/lib/platform/http_log.cpp
+++ b/lib/platform/http_log.cpp
@@ -85,7 +85,7 @@
     return call;
 }
 
-log_service make_http_log(const http_client& client, std::string base_url, http_log_settings settings)
+log_service make_http_log(const http_client& client, const std::string& base_url, http_log_settings settings)
 {
     log_service log;
     log.append = [client, base_url, settings](const append_request& request, append_callback callback) {
--- a/lib/platform/http_rating_service.cpp
+++ b/lib/platform/http_rating_service.cpp
@@ -21,7 +21,7 @@
     return malformed_answer("the rating is neither good nor bad");
 }
 
-rating_service make_http_rating_service(const http_client& client, std::string base_url)
+rating_service make_http_rating_service(const http_client& client, const std::string& base_url)
 {
     rating_service service;
     service.rate = [client, base_url](const rating_request& request, rating_callback callback) {
--- a/lib/platform/http_vm_list.cpp
+++ b/lib/platform/http_vm_list.cpp
@@ -59,7 +59,7 @@
     return entries;
 }
 
-vm_list_service make_http_vm_list(const http_client& client, std::string base_url)
+vm_list_service make_http_vm_list(const http_client& client, const std::string& base_url)
 {
     vm_list_service list;
     list.fetch = [client, base_url](vm_list_callback callback) {
--- a/lib/platform/http_weight_store.cpp
+++ b/lib/platform/http_weight_store.cpp
@@ -18,7 +18,7 @@
     return grant;
 }
 
-weight_store make_http_weight_store(const http_client& client, std::string base_url)
+weight_store make_http_weight_store(const http_client& client, const std::string& base_url)
 {
     weight_store store;
     store.acquire = [client, base_url](const version_id& version, weight_callback callback) {
--- a/lib/platform/soup_http_client.cpp
+++ b/lib/platform/soup_http_client.cpp
@@ -103,7 +103,7 @@
     state->call = start(request, std::move(callbacks), timeout_rule::whole_call);
 }
 
-soup_http_client::soup_http_client(event_loop& loop, soup_http_settings settings)
+soup_http_client::soup_http_client(event_loop& loop, const soup_http_settings& settings)
     : impl_(std::make_unique<impl>(loop, settings))
 {
 }
--- /dev/null
+++ b/tools/agatespar-standin/http_server.h
@@ -0,0 +1,79 @@
+// A small HTTP server for the stand-ins: an exchange may be answered later, streamed, or dropped.
+#pragma once
+
+#include <libsoup/soup.h>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace agatespar::standin {
+
+/// One request and the means to answer it.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+    exchange(SoupServerMessage* message, std::string path);
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    ~exchange();
+
+    const std::string& path() const { return path_; }
+    std::string method() const;
+    std::string body() const;
+    std::string header(const char* name) const;
+    /// @return the value of a query parameter, or the fallback if it is missing or no number.
+    std::uint64_t query_number(const char* name, std::uint64_t fallback) const;
+
+    void add_header(const char* name, const std::string& value);
+    void answer(int status, const nlohmann::json& document);
+    /// Answers with an error that says whether the request ran.
+    void refuse(int status, const std::string& message, const std::string& ran = "not_run");
+    void begin_events();
+    void send_event(const nlohmann::json& data);
+    void end_events();
+    /// Closes the connection, whatever was sent.
+    void drop();
+    /// @return whether the caller can still be answered.
+    bool is_open() const { return open_; }
+
+private:
+    static void on_finished(SoupServerMessage* message, gpointer data);
+
+    SoupServerMessage* message_;
+    std::string path_;
+    bool open_{true};
+};
+
+using exchange_handler = std::function<void(const std::shared_ptr<exchange>&)>;
+
+class http_server {
+public:
+    explicit http_server(exchange_handler handler);
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    ~http_server();
+
+    /// Listens on an IP address. @param port zero takes a free port, which is kept from then on.
+    /// @return whether it succeeded.
+    bool listen(const std::string& address, std::uint16_t port);
+    /// Refuses connections and drops those that are open, as a crash does.
+    void stop();
+    /// Listens again on the address and port of before.
+    bool restart() { return listen(address_, port_); }
+    std::uint16_t port() const { return port_; }
+
+private:
+    static void handle(SoupServer* server, SoupServerMessage* message, const char* path, GHashTable* query,
+                       gpointer data);
+
+    exchange_handler handler_;
+    SoupServer* server_;
+    std::string address_;
+    std::uint16_t port_{0};
+    std::set<std::weak_ptr<exchange>, std::owner_less<>> exchanges_;
+};
+
+} // namespace agatespar::standin
--- /dev/null
+++ b/tools/agatespar-standin/main.cpp
@@ -0,0 +1,203 @@
+// agatespar-standin takes the place of one of the platform's services or backend servers in tests and in the demo.
+#include "role.h"
+
+#include <agatespar/kernel/glib_event_loop.h>
+
+#include <docopt/docopt.h>
+
+#include <charconv>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+using namespace agatespar;
+using namespace agatespar::standin;
+
+static constexpr const char* usage = R"(Takes the place of a service of the platform or of a backend server.
+
+Usage:
+  agatespar-standin --role=ROLE [options]
+
+The role is log, engine, plain, vms, rating or weights. On start, one JSON line on standard output tells the port.
+POST /admin/faults switches faults on and off, GET /admin/counts tells what was done.
+
+Options:
+  --listen=ADDRESS        IP address and port; port 0 takes a free one [default: 127.0.0.1:0].
+  --port-file=FILE        Also write the port to a file.
+  --seed=N                Seed of all that is random [default: 1].
+  --fleet=NAME            Fleet of a backend server [default: ].
+  --zone=NAME             Availability zone of a backend server [default: ].
+  --name=NAME             Name of a backend server [default: ].
+  --versions=LIST         model@version, separated by commas, that an engine has loaded [default: ].
+  --slots=N               Requests that a backend server runs at once [default: 8].
+  --cold-slots=N          Requests above which a cold engine crashes [default: 2].
+  --warm-after=N          Completions after which a cold engine is warm [default: 8].
+  --warm                  Start an engine warm.
+  --fences                Refuse old fencing numbers.
+  --decode-ms=N           Time for each token of a warm engine [default: 5].
+  --prefill-tps=N         Tokens of a prompt that an engine reads a second [default: 4000].
+  --restart-ms=N          Time that a crashed engine is away [default: 500].
+  --load-ms=N             Time that an engine takes to load versions [default: 200].
+  --report-lag-ms=N       Time between two load reports [default: 100].
+  --retain=N              Records that a stream of the log keeps, 0 for all [default: 0].
+  --grants-per-second=N   Rate of the weight store [default: 2].
+  --help                  Show this text.
+)";
+
+namespace {
+
+using options = std::map<std::string, docopt::value>;
+
+struct listen_address {
+    std::string address;
+    std::uint16_t port;
+};
+
+} // namespace
+
+static std::uint32_t number(const options& given, const char* name)
+{
+    const std::string text = given.at(name).asString();
+    std::uint32_t value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
+        throw std::invalid_argument{std::string{name} + ": '" + text + "' is no number"};
+    }
+    return value;
+}
+
+static std::vector<std::string> split(const std::string& list)
+{
+    std::vector<std::string> items;
+    std::istringstream stream{list};
+    for (std::string item; std::getline(stream, item, ',');) {
+        items.push_back(item);
+    }
+    return items;
+}
+
+static role_settings read_settings(const options& given)
+{
+    role_settings settings;
+    settings.seed = number(given, "--seed");
+    settings.fleet = given.at("--fleet").asString();
+    settings.zone = given.at("--zone").asString();
+    settings.name = given.at("--name").asString();
+    settings.versions = split(given.at("--versions").asString());
+    settings.slots = number(given, "--slots");
+    settings.cold_slots = number(given, "--cold-slots");
+    settings.warm_after = number(given, "--warm-after");
+    settings.warm = given.at("--warm").asBool();
+    settings.fences = given.at("--fences").asBool();
+    settings.decode_step = std::chrono::milliseconds{number(given, "--decode-ms")};
+    settings.prefill_tokens_per_second = std::max(1U, number(given, "--prefill-tps"));
+    settings.restart_time = std::chrono::milliseconds{number(given, "--restart-ms")};
+    settings.load_time = std::chrono::milliseconds{number(given, "--load-ms")};
+    settings.report_lag = std::chrono::milliseconds{std::max(1U, number(given, "--report-lag-ms"))};
+    settings.retained_records = number(given, "--retain");
+    settings.grants_per_second = std::max(1U, number(given, "--grants-per-second"));
+    return settings;
+}
+
+static listen_address read_address(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const char* digits = colon == std::string::npos ? end : text.data() + colon + 1;
+    const auto parsed = std::from_chars(digits, end, port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        throw std::invalid_argument{"--listen: '" + text + "' has no valid port"};
+    }
+    return {text.substr(0, colon), port};
+}
+
+static std::unique_ptr<role> make_role(const std::string& name, event_loop& loop, const role_settings& settings,
+                                       crash_function crash)
+{
+    if (name == "log") {
+        return make_log_role(loop, settings);
+    }
+    if (name == "engine") {
+        return make_engine_role(loop, settings, std::move(crash));
+    }
+    if (name == "plain") {
+        return make_plain_role(loop, settings);
+    }
+    if (name == "vms") {
+        return make_vms_role(loop);
+    }
+    if (name == "rating") {
+        return make_rating_role(loop);
+    }
+    if (name == "weights") {
+        return make_weights_role(loop, settings);
+    }
+    throw std::invalid_argument{"no role is named '" + name + "'"};
+}
+
+static void serve(role& service, const std::shared_ptr<exchange>& call)
+{
+    if (call->path() == "/admin/faults") {
+        service.set_faults(nlohmann::json::parse(call->body()));
+        call->answer(200, nlohmann::json::object());
+    }
+    else if (call->path() == "/admin/counts") {
+        call->answer(200, service.counts());
+    }
+    else {
+        service.handle(call);
+    }
+}
+
+static void announce(const options& given, std::uint16_t port)
+{
+    std::cout << nlohmann::json{{"role", given.at("--role").asString()}, {"port", port}}.dump() << std::endl;
+    if (given.at("--port-file")) {
+        std::ofstream{given.at("--port-file").asString()} << port << '\n';
+    }
+}
+
+static int run(const options& given)
+{
+    glib_event_loop loop;
+    std::unique_ptr<role> service;
+    http_server server{[&service](const std::shared_ptr<exchange>& call) { serve(*service, call); }};
+    service = make_role(given.at("--role").asString(), loop, read_settings(given),
+                        [&loop, &server](std::chrono::milliseconds down) {
+                            server.stop();
+                            loop.schedule(down, [&loop, &server] {
+                                if (!server.restart()) {
+                                    std::cerr << "agatespar-standin: cannot listen again\n";
+                                    loop.quit();
+                                }
+                            });
+                        });
+    const listen_address wanted = read_address(given.at("--listen").asString());
+    if (!server.listen(wanted.address, wanted.port)) {
+        std::cerr << "agatespar-standin: cannot listen on " << given.at("--listen").asString() << '\n';
+        return 1;
+    }
+    announce(given, server.port());
+    loop.watch_signal(SIGTERM, [&loop] { loop.quit(); });
+    loop.watch_signal(SIGINT, [&loop] { loop.quit(); });
+    loop.run();
+    return 0;
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(docopt::docopt_parse(usage, {argv + 1, argv + argc}));
+    }
+    catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage;
+        return 0;
+    }
+    catch (const std::exception& problem) {
+        std::cerr << "agatespar-standin: " << problem.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/agatespar-standin/plain_role.cpp
@@ -0,0 +1,148 @@
+// The plain service's stand-in: methods that change a state, and a count of runs for each idempotency key.
+#include "role.h"
+
+#include <map>
+
+namespace agatespar::standin {
+
+namespace {
+
+constexpr const char* attempt_header = "X-Attempt-Id";
+
+struct plain_faults {
+    std::chrono::milliseconds delay{0};
+    /// Takes calls and never answers.
+    bool hang{false};
+    /// Closes the connection after the effect.
+    bool lose_answer{false};
+    /// Answers in the name of another attempt.
+    bool crossed{false};
+    bool refuse{false};
+    bool leave{false};
+};
+
+class plain_role final : public role {
+public:
+    plain_role(event_loop& loop, const role_settings& settings)
+        : loop_(loop), settings_(settings), start_(new_start_id())
+    {
+    }
+
+    void handle(const std::shared_ptr<exchange>& call) override;
+    void set_faults(const nlohmann::json& faults) override;
+    nlohmann::json counts() const override
+    {
+        return {{"runs", runs_}, {"methods", state_}, {"refused", refused_}, {"running", running_}};
+    }
+
+private:
+    void take_call(const std::shared_ptr<exchange>& call);
+    bool has_old_fence(const std::shared_ptr<exchange>& call, const std::string& key);
+    void answer(const std::shared_ptr<exchange>& call, const std::string& method, const std::string& key);
+    nlohmann::json load() const;
+
+    event_loop& loop_;
+    role_settings settings_;
+    std::uint64_t start_;
+    plain_faults faults_;
+    std::uint64_t running_{0};
+    std::uint64_t refused_{0};
+    std::map<std::string, std::uint64_t> runs_;
+    std::map<std::string, std::uint64_t> state_;
+    std::map<std::string, std::uint64_t> fences_;
+    std::vector<std::shared_ptr<exchange>> hanging_;
+};
+
+void plain_role::handle(const std::shared_ptr<exchange>& call)
+{
+    if (call->path() == "/v1/load") {
+        call->answer(200, load());
+        return;
+    }
+    if (!call->path().starts_with("/v1/methods/")) {
+        call->refuse(404, "no such resource");
+        return;
+    }
+    call->add_header(attempt_header, call->header(attempt_header) + (faults_.crossed ? "1" : ""));
+    take_call(call);
+}
+
+nlohmann::json plain_role::load() const
+{
+    return {
+        {"start", start_},          {"age_ms", 0},  {"running", running_},      {"queued", 0},
+        {"slots", settings_.slots}, {"warm", true}, {"leaving", faults_.leave}, {"versions", nlohmann::json::array()}};
+}
+
+// Remembers the largest fencing number of each key.
+bool plain_role::has_old_fence(const std::shared_ptr<exchange>& call, const std::string& key)
+{
+    const std::string text = call->header("X-Fencing-Number");
+    if (!settings_.fences || text.empty()) {
+        return false;
+    }
+    const std::uint64_t fence = std::stoull(text);
+    std::uint64_t& newest = fences_[key];
+    if (fence < newest) {
+        return true;
+    }
+    newest = fence;
+    return false;
+}
+
+void plain_role::take_call(const std::shared_ptr<exchange>& call)
+{
+    const std::string key = call->header("Idempotency-Key");
+    const bool full = running_ >= settings_.slots;
+    if (faults_.refuse || faults_.leave || full || has_old_fence(call, key)) {
+        ++refused_;
+        call->refuse(full ? 429 : 503, faults_.leave ? "leaving" : "refused");
+        return;
+    }
+    const std::string method = call->path().substr(std::string{"/v1/methods/"}.size());
+    ++runs_[key];
+    ++state_[method];
+    if (faults_.lose_answer) {
+        // Not from within the server's own handler.
+        loop_.post([call] { call->drop(); });
+        return;
+    }
+    if (faults_.hang) {
+        hanging_.push_back(call);
+        return;
+    }
+    ++running_;
+    loop_.schedule(faults_.delay, [this, call, method, key] {
+        --running_;
+        answer(call, method, key);
+    });
+}
+
+void plain_role::answer(const std::shared_ptr<exchange>& call, const std::string& method, const std::string& key)
+{
+    call->answer(200, {{"fleet", settings_.fleet},
+                       {"server", settings_.name},
+                       {"method", method},
+                       {"key", key},
+                       {"run", runs_[key]},
+                       {"state", state_[method]}});
+}
+
+void plain_role::set_faults(const nlohmann::json& faults)
+{
+    take_field(faults, "delay_ms", faults_.delay);
+    take_field(faults, "hang", faults_.hang);
+    take_field(faults, "lose_answer", faults_.lose_answer);
+    take_field(faults, "crossed", faults_.crossed);
+    take_field(faults, "refuse", faults_.refuse);
+    take_field(faults, "leave", faults_.leave);
+}
+
+} // namespace
+
+std::unique_ptr<role> make_plain_role(event_loop& loop, const role_settings& settings)
+{
+    return std::make_unique<plain_role>(loop, settings);
+}
+
+} // namespace agatespar::standin
--- /dev/null
+++ b/tools/agatespar-standin/role.h
@@ -0,0 +1,88 @@
+// What every stand-in has: requests to serve, faults to switch on, and counts of what it did.
+#pragma once
+
+#include "http_server.h"
+
+#include <agatespar/kernel/event_loop.h>
+
+#include <nlohmann/json.hpp>
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace agatespar::standin {
+
+/// The settings of the command line; each role takes what concerns it.
+struct role_settings {
+    std::uint64_t seed{1};
+    std::string fleet;
+    std::string zone;
+    std::string name;
+    /// "model@version" each.
+    std::vector<std::string> versions;
+    std::uint32_t slots{8};
+    std::uint32_t cold_slots{2};
+    /// Completions after which a cold engine is warm.
+    std::uint32_t warm_after{8};
+    bool warm{false};
+    bool fences{false};
+    std::chrono::milliseconds decode_step{5};
+    std::uint32_t prefill_tokens_per_second{4000};
+    std::chrono::milliseconds restart_time{500};
+    std::chrono::milliseconds load_time{200};
+    std::chrono::milliseconds report_lag{100};
+    /// Records that a stream of the log keeps; zero keeps all.
+    std::uint64_t retained_records{0};
+    double grants_per_second{2.0};
+};
+
+class role {
+public:
+    role() = default;
+    role(const role&) = delete;
+    role& operator=(const role&) = delete;
+    virtual ~role() = default;
+
+    /// Serves a request; one that it does not know is answered by 404.
+    virtual void handle(const std::shared_ptr<exchange>& call) = 0;
+    /// Takes the faults that a JSON object names and leaves the others.
+    virtual void set_faults(const nlohmann::json& faults) = 0;
+    virtual nlohmann::json counts() const = 0;
+};
+
+/// Stops the server like a crash and starts it again after a while.
+using crash_function = std::function<void(std::chrono::milliseconds down)>;
+
+std::unique_ptr<role> make_log_role(event_loop& loop, const role_settings& settings);
+std::unique_ptr<role> make_engine_role(event_loop& loop, const role_settings& settings, crash_function crash);
+std::unique_ptr<role> make_plain_role(event_loop& loop, const role_settings& settings);
+std::unique_ptr<role> make_vms_role(event_loop& loop);
+std::unique_ptr<role> make_rating_role(event_loop& loop);
+std::unique_ptr<role> make_weights_role(event_loop& loop, const role_settings& settings);
+
+/// @return an id for one run of a server, unlike those of all other runs whatever their seed.
+inline std::uint64_t new_start_id()
+{
+    std::random_device entropy;
+    return std::uniform_int_distribution<std::uint64_t>{1}(entropy);
+}
+
+/// Sets a field from the JSON object if it is there.
+template <class Value>
+void take_field(const nlohmann::json& object, const char* name, Value& target)
+{
+    if (object.contains(name)) {
+        target = object.at(name).get<Value>();
+    }
+}
+
+inline void take_field(const nlohmann::json& object, const char* name, std::chrono::milliseconds& target)
+{
+    if (object.contains(name)) {
+        target = std::chrono::milliseconds{object.at(name).get<std::int64_t>()};
+    }
+}
+
+} // namespace agatespar::standin
