Hand out permits from each server's owner, and hold cold servers to what they bear

Each VM asks a server's owner for leave to start a request. A new owner waits until no older permit can be used, then takes what a fresh load report shows as the work still running. Lost releases are found by audits.

--- /dev/null
+++ b/include/agatespar/backend/messages.h
@@ -0,0 +1,107 @@
+// The messages between the owner of a backend server and the VMs that send work to it.
+#pragma once
+
+#include <agatespar/backend/permit.h>
+#include <agatespar/wire/codec.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace agatespar {
+
+/// A permit that its holder gives back.
+struct finished_permit {
+    permit_number number;
+    work_result result{work_result::good};
+    std::uint16_t slowdown_percent{100};
+    /// Requests that ended well under it before the last one.
+    std::uint16_t good_uses{0};
+
+    MSGPACK_DEFINE_ARRAY(number, result, slowdown_percent, good_uses)
+};
+
+/// Asks a server's owner for permits, and gives back others.
+struct permit_request_message {
+    server_key server;
+    /// Matches the grant to the request, from whose sending the holder counts the permits' lifetime.
+    std::uint32_t round{0};
+    /// Permits that requests wait for.
+    std::uint8_t needed{0};
+    /// Permits to hold in store for requests to come.
+    std::uint8_t extra{0};
+    bool alone{false};
+    std::vector<finished_permit> finished;
+
+    MSGPACK_DEFINE_ARRAY(server, round, needed, extra, alone, finished)
+};
+
+/// Gives back permits, or answers an audit.
+struct permit_release_message {
+    server_key server;
+    std::vector<finished_permit> finished;
+    /// Of the permits up to this number, the sender holds only those in `held`; zero if this answers no audit.
+    permit_number audited_to;
+    std::vector<permit_number> held;
+
+    MSGPACK_DEFINE_ARRAY(server, finished, audited_to, held)
+};
+
+/// What an owner says to a request, or on its own account.
+enum class permit_verdict : std::uint8_t {
+    granted = 0,
+    /// All that the server may run now is given away.
+    full = 1,
+    /// The server is leaving, unhealthy, or its zone is out of service.
+    closed = 2,
+    /// The sender does not own the server, or does not yet.
+    not_owner = 3,
+    /// Unused permits are void.
+    revoked = 4,
+    /// Asks which permits up to `first` are still held.
+    audit = 5,
+};
+
+/// Gives permits of consecutive numbers, with the server's load.
+struct permit_grant_message {
+    server_key server;
+    std::uint32_t round{0};
+    permit_verdict verdict{permit_verdict::granted};
+    permit_number first;
+    std::uint8_t count{0};
+    /// How long the permits may be used, from when the request was sent.
+    std::uint16_t lifetime_ms{0};
+    bool alone{false};
+    bool single_use{false};
+    std::uint16_t limit{0};
+    /// Permits in force.
+    std::uint16_t in_force{0};
+
+    MSGPACK_DEFINE_ARRAY(server, round, verdict, first, count, lifetime_ms, alone, single_use, limit, in_force)
+};
+
+/// One server's load for the whole zone, as coarse as a choice among many needs it.
+struct server_table_entry {
+    /// The low half of the server's key.
+    std::uint32_t key{0};
+    std::uint16_t limit{0};
+    std::uint16_t in_force{0};
+    /// Waiting in the server's own queue.
+    std::uint16_t queued{0};
+    bool healthy{true};
+    /// Part of the server's start id, so that a new owner knows whether the limit still holds.
+    std::uint16_t start_tag{0};
+
+    MSGPACK_DEFINE_ARRAY(key, limit, in_force, queued, healthy, start_tag)
+};
+
+/// The servers of one owner; the bytes of a gossip item of kind server_table.
+struct server_table_message {
+    std::vector<server_table_entry> servers;
+
+    MSGPACK_DEFINE_ARRAY(servers)
+};
+
+} // namespace agatespar
+
+MSGPACK_ADD_ENUM(agatespar::work_result)
+MSGPACK_ADD_ENUM(agatespar::permit_verdict)
--- /dev/null
+++ b/lib/backend/load_table.cpp
@@ -0,0 +1,66 @@
+// Merging of load tables, and the correction of lagging figures.
+#include <agatespar/backend/load_table.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace agatespar {
+
+namespace {
+
+// The load is told in this many steps of the limit.
+constexpr int load_steps = 4;
+
+} // namespace
+
+bool load_table::merge(std::string_view bytes, steady_time now)
+{
+    const auto message = decode<server_table_message>(bytes);
+    if (!message) {
+        return false;
+    }
+    for (const server_table_entry& entry : message->servers) {
+        entries_[entry.key] = known_load{entry, now};
+    }
+    return true;
+}
+
+std::optional<known_load> load_table::find(server_key server) const
+{
+    const auto found = entries_.find(short_key(server));
+    return found == entries_.end() ? std::nullopt : std::optional{found->second};
+}
+
+void load_table::expire(steady_time older_than)
+{
+    std::erase_if(entries_, [older_than](const auto& each) { return each.second.received < older_than; });
+}
+
+std::uint32_t short_key(server_key server)
+{
+    return static_cast<std::uint32_t>(server.value());
+}
+
+static int load_step(const server_table_entry& entry)
+{
+    const int load = entry.in_force + entry.queued;
+    return entry.limit == 0 ? load_steps : std::min(load * load_steps / entry.limit, 2 * load_steps);
+}
+
+bool differs_materially(const server_table_entry& left, const server_table_entry& right)
+{
+    const bool limit_moved = std::abs(left.limit - right.limit) * load_steps > std::min(left.limit, right.limit);
+    return left.key != right.key || left.healthy != right.healthy || left.start_tag != right.start_tag || limit_moved ||
+           std::abs(load_step(left) - load_step(right)) > 1;
+}
+
+std::uint32_t corrected_load(std::uint32_t reported, std::span<const steady_time> sent,
+                             std::span<const steady_time> ended, steady_time reported_at)
+{
+    const auto since = [reported_at](steady_time each) { return each > reported_at; };
+    const auto more = static_cast<std::uint32_t>(std::count_if(sent.begin(), sent.end(), since));
+    const auto less = static_cast<std::uint32_t>(std::count_if(ended.begin(), ended.end(), since));
+    return reported + more - std::min(reported + more, less);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/backend/permit_owner.cpp
@@ -0,0 +1,232 @@
+// Granting: takeover, the limit in force, and what a request gets.
+#include <agatespar/backend/permit_owner.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace agatespar {
+
+void permit_owner::set_owned(std::span<const backend_server> servers, steady_time now)
+{
+    notice_pause(now);
+    std::map<server_key, owned_server> kept;
+    for (const backend_server& server : servers) {
+        const auto found = servers_.find(server.key);
+        if (found == servers_.end()) {
+            owned_server& owned = kept[server.key];
+            owned.server = server;
+            owned.limit = make_cold_limit(server.cold_slots, server.slots);
+            start_takeover(owned, now);
+            continue;
+        }
+        owned_server& owned = kept[server.key] = std::move(found->second);
+        if (owned.server.cold_slots != server.cold_slots || owned.server.slots != server.slots) {
+            const std::optional<server_start_id> start = owned.limit.start;
+            owned.limit = make_cold_limit(server.cold_slots, server.slots);
+            owned.limit.start = start;
+        }
+        owned.revoke = owned.revoke || (server.leaving && !owned.server.leaving);
+        owned.server = server;
+    }
+    servers_ = std::move(kept);
+}
+
+void permit_owner::set_standing(bool in_service, bool majority, steady_time now)
+{
+    notice_pause(now);
+    const bool closed = in_service_ && !in_service;
+    in_service_ = in_service;
+    majority_ = majority;
+    for (auto& [key, owned] : servers_) {
+        owned.revoke = owned.revoke || closed;
+    }
+}
+
+void permit_owner::hint_limit(server_key server, std::uint32_t earlier, std::uint16_t start_tag)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end() && found->second.awaits_report) {
+        found->second.hinted_limit = earlier;
+        found->second.hinted_tag = start_tag;
+    }
+}
+
+void permit_owner::notice_pause(steady_time now)
+{
+    const bool paused = last_call_ && now - *last_call_ > settings_.pause_threshold;
+    last_call_ = now;
+    if (!paused) {
+        return;
+    }
+    start_over(now);
+}
+
+void permit_owner::start_over(steady_time now)
+{
+    for (auto& [key, owned] : servers_) {
+        start_takeover(owned, now);
+    }
+}
+
+void permit_owner::start_takeover(owned_server& owned, steady_time now)
+{
+    ++counters_.takeovers;
+    owned.grants.clear();
+    owned.alone.reset();
+    owned.reserved_for.reset();
+    owned.recent_ends.clear();
+    owned.unknown_work = 0;
+    owned.excess = 0;
+    owned.awaits_report = true;
+    owned.grants_from = now + settings_.handover_wait;
+    owned.unknown_from = owned.grants_from;
+    owned.next_poll = now;
+    owned.next_audit = now + settings_.audit_interval;
+}
+
+std::uint32_t permit_owner::in_force(const owned_server& owned)
+{
+    return static_cast<std::uint32_t>(owned.grants.size()) + std::max(owned.unknown_work, owned.excess);
+}
+
+std::uint32_t permit_owner::limit_now(const owned_server& owned, steady_time now) const
+{
+    const std::uint32_t cold = owned.limit.cold_slots;
+    if (!majority_) {
+        // The other side of a split may grant too; a cold server must not bear both.
+        return owned.limit.warm ? cold : 0;
+    }
+    const bool report_valid = owned.sampled && now - *owned.sampled <= settings_.report_validity;
+    const std::uint32_t allowed = allowed_work(owned.limit);
+    return report_valid ? allowed : std::min(allowed, cold);
+}
+
+permit_verdict permit_owner::judge(const owned_server& owned, steady_time now) const
+{
+    if (!in_service_ || owned.server.leaving || owned.reported_leaving) {
+        return permit_verdict::closed;
+    }
+    if (now < owned.grants_from || owned.awaits_report) {
+        return permit_verdict::not_owner;
+    }
+    return owned.reachable ? permit_verdict::granted : permit_verdict::closed;
+}
+
+permit_grant_message permit_owner::describe(const owned_server& owned, permit_verdict verdict, steady_time now) const
+{
+    permit_grant_message message;
+    message.server = owned.server.key;
+    message.verdict = verdict;
+    message.limit = static_cast<std::uint16_t>(limit_now(owned, now));
+    message.in_force = static_cast<std::uint16_t>(in_force(owned));
+    return message;
+}
+
+std::uint32_t permit_owner::grantable(owned_server& owned, boot_id holder, const permit_request_message& request,
+                                      steady_time now)
+{
+    if (owned.reserved_for && now >= owned.reserved_until) {
+        owned.reserved_for.reset();
+    }
+    const std::uint32_t limit = limit_now(owned, now);
+    const std::uint32_t used = in_force(owned);
+    const bool reserved_for_other = owned.reserved_for && (*owned.reserved_for != holder || !request.alone);
+    if (owned.alone || reserved_for_other || limit == 0) {
+        return 0;
+    }
+    if (request.alone) {
+        if (used == 0) {
+            owned.reserved_for.reset();
+            return 1;
+        }
+        owned.reserved_for = holder;
+        owned.reserved_until = now + settings_.alone_reservation;
+        return 0;
+    }
+    if (used >= limit) {
+        return 0;
+    }
+    const std::uint32_t needed = std::min<std::uint32_t>(request.needed, limit - used);
+    const auto store_limit = static_cast<std::uint32_t>(settings_.extra_share * limit);
+    if (!owned.limit.warm || used + needed >= store_limit) {
+        return needed;
+    }
+    return needed + std::min<std::uint32_t>(request.extra, store_limit - used - needed);
+}
+
+permit_grant_message permit_owner::on_request(boot_id holder, const permit_request_message& request, steady_time now)
+{
+    notice_pause(now);
+    const auto found = servers_.find(request.server);
+    if (found == servers_.end()) {
+        ++counters_.refused_not_owner;
+        permit_grant_message message;
+        message.server = request.server;
+        message.round = request.round;
+        message.verdict = permit_verdict::not_owner;
+        return message;
+    }
+    owned_server& owned = found->second;
+    finish(owned, holder, request.finished, now);
+    permit_verdict verdict = judge(owned, now);
+    const std::uint32_t count = verdict == permit_verdict::granted ? grantable(owned, holder, request, now) : 0;
+    if (verdict == permit_verdict::granted && count == 0) {
+        verdict = permit_verdict::full;
+    }
+    counters_.refused_full += verdict == permit_verdict::full ? 1 : 0;
+    counters_.refused_closed += verdict == permit_verdict::closed ? 1 : 0;
+    counters_.refused_not_owner += verdict == permit_verdict::not_owner ? 1 : 0;
+    counters_.granted += count;
+    const auto lifetime = owned.limit.warm ? settings_.warm_lifetime : settings_.cold_lifetime;
+    const permit_number first{last_number_ + 1};
+    for (std::uint32_t index = 0; index < count; ++index) {
+        owned.grants[permit_number{++last_number_}] =
+            grant{holder, now, now + lifetime + settings_.margin, owned.epoch};
+    }
+    if (request.alone && count > 0) {
+        owned.alone = first;
+    }
+    permit_grant_message message = describe(owned, verdict, now);
+    message.round = request.round;
+    message.first = first;
+    message.count = static_cast<std::uint8_t>(count);
+    message.lifetime_ms = static_cast<std::uint16_t>(lifetime.count());
+    message.alone = request.alone;
+    message.single_use = !owned.limit.warm;
+    return message;
+}
+
+std::vector<server_key> permit_owner::take_due_polls(steady_time now)
+{
+    std::vector<server_key> due;
+    for (auto& [key, owned] : servers_) {
+        if (now >= owned.next_poll) {
+            owned.next_poll = now + settings_.poll_interval;
+            due.push_back(key);
+        }
+    }
+    return due;
+}
+
+std::vector<owned_server_status> permit_owner::status() const
+{
+    std::vector<owned_server_status> all;
+    all.reserve(servers_.size());
+    for (const auto& [key, owned] : servers_) {
+        all.push_back(*status(key));
+    }
+    return all;
+}
+
+std::optional<owned_server_status> permit_owner::status(server_key server) const
+{
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return std::nullopt;
+    }
+    const owned_server& owned = found->second;
+    return owned_server_status{server,           allowed_work(owned.limit), in_force(owned),     owned.queued,
+                               owned.limit.warm, owned.reachable,           owned.awaits_report, owned.limit.start};
+}
+
+} // namespace agatespar
