--- a/include/agatespar/telemetry/log.h
+++ b/include/agatespar/telemetry/log.h
@@ -1,6 +1,8 @@
 // JSON log lines on standard error, one for each change of state. What happens often is counted instead.
 #pragma once
 
+#include <agatespar/support/clock.h>
+
 #include <cstdint>
 #include <initializer_list>
 #include <ostream>
@@ -43,6 +45,8 @@
     /// Stands in each line as "source", e.g. the VM's name.
     std::string source;
     log_severity least{log_severity::info};
+    /// Gives the lines' time stamps and must outlive the logging; null takes the operating system's clock.
+    const clock* time{nullptr};
 };
 
 /// Sends all log lines to a stream, in place of the sink before. @param target must outlive the logging.
--- a/include/agatespar/telemetry/metrics.h
+++ b/include/agatespar/telemetry/metrics.h
@@ -39,7 +39,7 @@
 /// Counts observations in buckets. Recording allocates nothing.
 class histogram {
 public:
-    /// @param bounds the upper bounds of the buckets, ascending, at least one.
+    /// @param bounds the upper bounds of the buckets, ascending, at least two.
     explicit histogram(const std::vector<double>& bounds);
     histogram(const histogram&) = delete;
     histogram& operator=(const histogram&) = delete;
@@ -49,7 +49,7 @@
 
     std::uint64_t count() const;
     double sum() const;
-    /// @return the number of observations below a bucket's upper bound. @param bucket from 0 to bounds().size() - 1.
+    /// @return the number of observations up to a bucket's upper bound. @param bucket from 0 to bounds().size() - 1.
     std::uint64_t cumulative_count(std::size_t bucket) const;
     const std::vector<double>& bounds() const;
 
@@ -96,7 +96,6 @@
     template <class Metric, class... Arguments>
     static Metric& find_or_make(families<Metric>& all, std::string_view name, std::string_view help,
                                 metric_labels labels, const Arguments&... arguments);
-    bool has_other_type(std::string_view name, const void* own_families) const;
 
     families<counter> counters_;
     families<gauge> gauges_;
