--- /dev/null
+++ b/tools/agatesparctl/output.h
@@ -0,0 +1,28 @@
+// Printing for people and for scripts.
+#pragma once
+
+#include "options.h"
+
+#include <agatespar/config/submit.h>
+#include <agatespar/support/outcome.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <string>
+
+namespace agatespar {
+
+/// Prints one line to standard error. @return the code, for a return statement.
+exit_code print_error(const std::string& text, exit_code code);
+/// Prints a failure of the log or a VM. @return the code that goes with it.
+exit_code print_failure(const error& problem);
+/// Prints what became of a patch. @return the code that goes with it.
+exit_code print_report(const submit_report& report, bool json);
+/// Prints a JSON document, indented for scripts or as "name: value" lines for people.
+void print_document(const nlohmann::json& document, bool json);
+/// @return the document of one remembered verdict.
+nlohmann::json describe(const patch_verdict& verdict);
+/// @return the verdict as one line for people.
+std::string describe_line(const patch_verdict& verdict);
+
+} // namespace agatespar
