--- a/tools/agatesparctl/output.cpp
+++ b/tools/agatesparctl/output.cpp
@@ -95,7 +95,7 @@
     for (const auto& [name, member] : value.items()) {
         const std::string label = value.is_array() ? "-" : name + ":";
         if (member.is_structured()) {
-            std::cout << indent << label << (member.empty() ? " none" : "") << "\n";
+            std::cout << indent << label << (member.empty() ? " (empty)" : "") << "\n";
             print_lines(member, indent + "  ");
             continue;
         }
