Log the configuration reader's changes of state

Becoming ready, tailing, a trimmed or regressed log, a fold stopped by newer rules and a peer's other hash are rare and need an operator's eye; the counters tell the rest.

--- a/lib/config/config_reader.cpp
+++ b/lib/config/config_reader.cpp
@@ -1,6 +1,7 @@
 // The reader's calls to the log.
 #include <agatespar/config/config_reader.h>
 #include <agatespar/config/snapshot_store.h>
+#include <agatespar/telemetry/log.h>
 
 #include <algorithm>
 #include <utility>
@@ -46,6 +47,7 @@
     tailing_ = tailing;
     next_call_ = loop_.time().now();
     announced_ = state_.covers;
+    log_event(log_severity::info, "config_tailing", {{"tailing", tailing}});
 }
 
 bool config_reader::peers_silent() const
@@ -128,6 +130,8 @@
     const bool regressed = batch.next.value() <= state_.covers.value();
     if (regressed != std::exchange(log_regressed_, regressed)) {
         counters_.log_regressions += regressed ? 1 : 0;
+        log_event(regressed ? log_severity::error : log_severity::info, "config_log_regressed",
+                  {{"regressed", regressed}, {"covers", state_.covers.value()}, {"next", batch.next.value()}});
     }
     if (regressed) {
         end_call(settings_.max_retry);
@@ -136,6 +140,8 @@
     const bool trimmed = !fold_batch(batch);
     if (trimmed && !trimmed_) {
         ++counters_.trimmed;
+        log_event(log_severity::warning, "config_log_trimmed",
+                  {{"covers", state_.covers.value()}, {"first_retained", batch.first_retained.value()}});
     }
     trimmed_ = trimmed;
     if (trimmed) {
--- a/lib/config/config_reader_peers.cpp
+++ b/lib/config/config_reader_peers.cpp
@@ -1,5 +1,6 @@
 // The reader's dealings with its peers, and what it tells its daemon.
 #include <agatespar/config/config_reader.h>
+#include <agatespar/telemetry/log.h>
 
 #include <algorithm>
 #include <string>
@@ -133,11 +134,13 @@
         return;
     case verdict_kind::too_new:
         ++counters_.too_new;
+        log_event(log_severity::error, "config_fold_stopped",
+                  {{"number", verdict.number.value()}, {"reason", verdict.reason}});
         return;
     }
 }
 
-void config_reader::count(adoption result, const config_mark& /*mark*/)
+void config_reader::count(adoption result, const config_mark& mark)
 {
     switch (result) {
     case adoption::adopted:
@@ -151,6 +154,10 @@
         return;
     case adoption::hash_mismatch:
         ++counters_.hash_mismatches;
+        if (counters_.hash_mismatches == 1) {
+            log_event(log_severity::error, "config_hash_mismatch",
+                      {{"number", mark.number.value()}, {"peer", mark.holder.value()}});
+        }
         return;
     }
 }
@@ -189,6 +196,7 @@
         return;
     }
     ready_ = true;
+    log_event(log_severity::info, "config_ready", {{"number", state_.current->number.value()}});
 }
 
 } // namespace agatespar
