--- a/include/agatespar/config/config_reader.h
+++ b/include/agatespar/config/config_reader.h
@@ -35,8 +35,9 @@
     std::chrono::milliseconds peer_silence{3'000};
     /// A follower whose peers have all lost the log looks there itself this often.
     std::chrono::milliseconds stale_probe{30'000};
-    /// A pull without an answer for this long may be sent again.
+    /// A pull without an answer for this long is sent again, a few times.
     std::chrono::milliseconds pull_timeout{1'000};
+    unsigned max_pulls{5};
 };
 
 /// What the reader asks of its daemon.
@@ -128,6 +129,8 @@
 
     bool is_behind(const config_mark& mark) const;
     void pull_from(boot_id peer);
+    /// Asks the peer that is ahead again if its answer got lost.
+    void repeat_pull();
     /// Takes over from a ready peer that is not ahead how fresh its state is.
     void trust(const config_mark& mark);
     void count(const fold_result& result);
@@ -163,6 +166,9 @@
     steady_time last_peer_;
     steady_time last_contact_;
     std::optional<steady_time> pull_sent_;
+    /// The peer that is known to be ahead, and how often it was asked.
+    std::optional<config_mark> ahead_;
+    unsigned pulls_to_ahead_{0};
     log_offset announced_;
     std::shared_ptr<const bool> alive_;
 };
--- a/include/agatespar/config/fold.h
+++ b/include/agatespar/config/fold.h
@@ -19,6 +19,9 @@
 /// Longer reasons are cut in the remembered verdicts.
 inline constexpr std::size_t max_remembered_reason_bytes = 200;
 
+/// The largest snapshot: a configuration of max_config_items and the remembered verdicts fit into it.
+inline constexpr std::size_t max_snapshot_bytes = 1'900'000;
+
 enum class verdict_kind {
     accepted,
     /// The patch was written against another number than the current one.
--- a/include/agatespar/config/patch.h
+++ b/include/agatespar/config/patch.h
@@ -22,6 +22,9 @@
 inline constexpr std::size_t max_patch_depth = 12;
 inline constexpr std::size_t max_patch_operations = 1000;
 inline constexpr std::size_t max_name_bytes = 64;
+/// Zones, versions, classes, services, methods, accounts, keys and allowances of a configuration together. It keeps a
+/// snapshot within one message between VMs.
+inline constexpr std::size_t max_config_items = 5000;
 
 /// Creates a fleet or changes its weights.
 struct put_fleet {
--- a/lib/config/config_reader.cpp
+++ b/lib/config/config_reader.cpp
@@ -62,6 +62,7 @@
 
 void config_reader::step()
 {
+    repeat_pull();
     if (call_running_ || loop_.time().now() < next_call_ || !wants_log()) {
         return;
     }
--- a/lib/config/config_reader_peers.cpp
+++ b/lib/config/config_reader_peers.cpp
@@ -52,6 +52,20 @@
     seams_.send_pull(peer, {state_.covers});
 }
 
+void config_reader::repeat_pull()
+{
+    if (!ahead_) {
+        return;
+    }
+    if (!is_behind(*ahead_) || pulls_to_ahead_ >= settings_.max_pulls) {
+        ahead_.reset();
+        return;
+    }
+    const std::uint64_t before = counters_.pulls;
+    pull_from(ahead_->holder);
+    pulls_to_ahead_ += counters_.pulls > before ? 1 : 0;
+}
+
 bool config_reader::is_behind(const config_mark& mark) const
 {
     // A record of newer rules stops this program for good: no peer can help it over.
@@ -75,7 +89,9 @@
     }
     trust(mark);
     if (is_behind(mark)) {
-        pull_from(mark.holder);
+        ahead_ = mark;
+        pulls_to_ahead_ = 0;
+        repeat_pull();
     }
 }
 
--- a/lib/config/fold.cpp
+++ b/lib/config/fold.cpp
@@ -7,11 +7,22 @@
 
 namespace agatespar {
 
-static void remember(fold_state& state, patch_verdict verdict)
+// Cuts a text before a character of UTF-8 that would not fit whole.
+static void cut_text(std::string& text, std::size_t max_bytes)
 {
-    if (verdict.reason.size() > max_remembered_reason_bytes) {
-        verdict.reason.resize(max_remembered_reason_bytes);
+    if (text.size() <= max_bytes) {
+        return;
+    }
+    const auto is_continuation = [](char c) { return (static_cast<unsigned char>(c) & 0xc0U) == 0x80U; };
+    while (max_bytes > 0 && is_continuation(text[max_bytes])) {
+        --max_bytes;
     }
+    text.resize(max_bytes);
+}
+
+static void remember(fold_state& state, patch_verdict verdict)
+{
+    cut_text(verdict.reason, max_remembered_reason_bytes);
     state.verdicts.push_back(std::move(verdict));
     if (state.verdicts.size() > max_remembered_verdicts) {
         state.verdicts.pop_front();
--- a/lib/config/json_archive.cpp
+++ b/lib/config/json_archive.cpp
@@ -39,6 +39,10 @@
                                " bytes without spaces, '/', '@', quotes and backslashes");
         return false;
     }
+    if (std::any_of(target.begin(), target.end(), [](unsigned char c) { return c < ' ' || c == 0x7f; })) {
+        problem.note(path, "holds control characters");
+        return false;
+    }
     if (target.size() > bounds.bytes) {
         problem.note(path, "is longer than " + std::to_string(bounds.bytes) + " bytes");
         return false;
--- a/lib/config/snapshot.cpp
+++ b/lib/config/snapshot.cpp
@@ -6,8 +6,6 @@
 
 namespace agatespar {
 
-// A snapshot holds the whole configuration, of thousands of client accounts at the most.
-static constexpr std::size_t max_snapshot_bytes = 4 * 1024 * 1024;
 static constexpr std::size_t max_snapshot_depth = 16;
 
 namespace {
--- a/lib/config/validate.cpp
+++ b/lib/config/validate.cpp
@@ -1,6 +1,8 @@
 // Validation of a whole configuration.
 #include "validate.h"
 
+#include <agatespar/config/patch.h>
+
 #include <cmath>
 #include <string>
 
@@ -161,8 +163,42 @@
     return {};
 }
 
+static std::size_t count_items(const fleet_settings& fleet)
+{
+    std::size_t count = 1 + fleet.zones.size() + fleet.models.size() + fleet.classes.size();
+    for (const auto& [name, model] : fleet.models) {
+        count += model.versions.size();
+    }
+    for (const auto& [name, service] : fleet.services) {
+        count += 1 + service.models.size() + service.methods.size();
+    }
+    for (const auto& [name, account] : fleet.accounts) {
+        count += 1 + account.key_hashes.size() + account.models.size() + account.services.size();
+        for (const auto& [model, versions] : account.models) {
+            count += versions.size();
+        }
+    }
+    return count;
+}
+
+static outcome<void> validate_size(const configuration& config)
+{
+    std::size_t count = 0;
+    for (const auto& [name, fleet] : config.fleets) {
+        count += count_items(fleet);
+    }
+    if (count > max_config_items) {
+        return invalid("configuration",
+                       "has " + std::to_string(count) + " items, more than " + std::to_string(max_config_items));
+    }
+    return {};
+}
+
 outcome<void> validate(const configuration& config)
 {
+    if (outcome<void> checked = validate_size(config); !checked) {
+        return checked;
+    }
     for (const auto& [name, fleet] : config.fleets) {
         if (outcome<void> checked = validate_fleet(name, fleet); !checked) {
             return checked;
--- a/unittests/config/config_reader_test.cpp
+++ b/unittests/config/config_reader_test.cpp
@@ -312,3 +312,43 @@
         }
     }
 }
+
+SCENARIO("a pull whose answer is lost is sent again a few times")
+{
+    manual_event_loop loop;
+    memory_log log{loop, 7};
+    std::mt19937_64 random{1};
+    unsigned pulls = 0;
+    config_reader_seams seams;
+    seams.log = log.service();
+    seams.send_pull = [&](boot_id, const config_pull&) { ++pulls; };
+    seams.changed = [](const std::shared_ptr<const configuration>&) {};
+    config_reader_settings settings;
+    settings.self = boot_id{1};
+    config_reader reader{loop, seams, settings, random};
+    reader.start();
+    fold_state ahead;
+    record_history history;
+    const log_record record{log_offset{1}, format_patch(two_fleets_patch("p0"))};
+    fold(ahead, record);
+    history.add(record);
+    const config_mark mark{boot_id{2}, ahead.current->number, ahead.current->chain_hash, ahead.covers, true, 0};
+    reader.note_peer(mark);
+    CHECK(pulls == 1);
+    WHEN("an answer comes in the end")
+    {
+        loop.advance(1500ms);
+        CHECK(pulls == 2);
+        reader.take_state(answer_pull(ahead, history, {log_offset{0}}, mark));
+        loop.advance(10s);
+        CHECK(pulls == 2);
+        CHECK(reader.ready());
+        CHECK(reader.current()->number == config_number{1});
+    }
+    WHEN("none ever comes")
+    {
+        loop.advance(60s);
+        CHECK(pulls == settings.max_pulls);
+        CHECK(reader.current()->number == config_number{0});
+    }
+}
--- a/unittests/config/fold_test.cpp
+++ b/unittests/config/fold_test.cpp
@@ -169,3 +169,64 @@
     CHECK(fold_patch(state, two_fleets_patch("p1")).verdict.kind == verdict_kind::conflict);
     CHECK(state.current->number == before);
 }
+
+SCENARIO("the largest configuration with the longest names fits into a snapshot")
+{
+    const std::string padding(max_name_bytes - 6, 'x');
+    const auto name = [&padding](std::size_t i) { return padding + std::to_string(100'000 + i); };
+    fold_state state;
+    const fleet_name fleet{name(0)};
+    REQUIRE(fold_patch(state, make_patch(name(0), 0, {put_fleet{fleet, {}}})).verdict.kind == verdict_kind::accepted);
+    model_settings model;
+    model.versions[version_name{name(0)}] = {version_state::serving, {}, 1.0, cost_units{0.123456789012345}};
+    std::size_t versions = 1;
+    for (verdict_kind kind = verdict_kind::accepted; kind == verdict_kind::accepted;) {
+        for (int i = 0; i < 500; ++i) {
+            model.versions[version_name{name(versions++)}] = {version_state::withdrawn, version_name{name(0)}, 0.0,
+                                                              cost_units{0.123456789012345}};
+        }
+        patch change = make_patch(name(versions), state.current->number.value(), {});
+        for (const auto& [version, settings] : model.versions) {
+            if (find_model(*state.current, {fleet, model_name{name(1)}}) == nullptr) {
+                change.operations.emplace_back(put_model{{fleet, model_name{name(1)}}, model});
+                break;
+            }
+            if (find_version(*state.current, {{fleet, model_name{name(1)}}, version}) == nullptr) {
+                change.operations.emplace_back(put_version{{{fleet, model_name{name(1)}}, version}, settings});
+            }
+        }
+        kind = fold_patch(state, change).verdict.kind;
+    }
+    CHECK(find_model(*state.current, {fleet, model_name{name(1)}})->versions.size() > max_config_items - 1000);
+    for (std::size_t i = 0; i < max_remembered_verdicts; ++i) {
+        patch change = make_patch(name(50'000 + i), 0, {put_fleet{fleet, {}}});
+        change.author = std::string(256, 'a');
+        change.base = state.current->number;
+        change.operations = {put_zone{{fleet_name{std::string(62, 'y') + "\u010d"}, zone_name{name(0)}}, {}},
+                             remove_fleet{fleet}};
+        fold_patch(state, change);
+    }
+    const std::string text = format_snapshot({state, wall_time{}});
+    CHECK(text.size() <= max_snapshot_bytes);
+    CHECK(parse_snapshot(text));
+}
+
+SCENARIO("a remembered reason is cut between characters")
+{
+    // Names of two-byte characters, at two neighbouring positions, so that one of the cuts would split a character.
+    const std::string start = GENERATE(std::string{}, std::string{"x"});
+    std::string letters = start;
+    while (letters.size() + 2 <= max_name_bytes) {
+        letters += "\u010d";
+    }
+    fold_state state = sample_state();
+    const model_id model{fleet_name{letters}, model_name{letters}};
+    model_settings settings;
+    settings.versions[version_name{"1"}] = {version_state::serving, {}, 1.0, cost_units{1.0}};
+    const fold_result result = fold_patch(state, make_patch("p", 1,
+                                                            {put_fleet{model.fleet, {}}, put_model{model, settings},
+                                                             set_shares{model, {{version_name{letters}, 1.0}}}}));
+    CHECK(result.verdict.reason.size() > max_remembered_reason_bytes);
+    CHECK(find_verdict(state, patch_id{"p"})->reason.size() + 1 >= max_remembered_reason_bytes);
+    CHECK(parse_snapshot(format_snapshot({state, wall_time{}})));
+}
