--- a/include/agatespar/ledger/partition_state.h
+++ b/include/agatespar/ledger/partition_state.h
@@ -50,7 +50,7 @@
 };
 
 /// Folds the record at state.next.
-void fold_record(partition_state& state, std::string_view payload, const ledger_settings& settings);
+void fold_record(partition_state& state, std::string_view payload);
 
 /// Forgets keys that are too old to be accepted again.
 void forget_old_keys(partition_state& state, wall_time now, const ledger_settings& settings);
--- a/lib/ledger/partition_reader.cpp
+++ b/lib/ledger/partition_reader.cpp
@@ -135,7 +135,7 @@
         return;
     }
     for (const log_record& record : batch.records) {
-        fold_record(state_, record.payload, settings_);
+        fold_record(state_, record.payload);
         ++counters_.folded_records;
     }
     if (batch.records.empty() || state_.next >= batch.next) {
--- a/lib/ledger/partition_state.cpp
+++ b/lib/ledger/partition_state.cpp
@@ -42,12 +42,8 @@
     return found->second;
 }
 
-static void fold(partition_state& state, const claim_record& claim, const ledger_settings& settings)
+static void fold(partition_state& state, const claim_record& claim)
 {
-    // An append that takes effect this late belongs to a claim that gave up long ago, of a key that may be forgotten.
-    if (claim.written > claim.key_time + settings.key_window + settings.window_slack) {
-        return;
-    }
     key_entry& entry = entry_of(state, claim.key, claim.key_time);
     if (find_claim(entry, claim.id) != nullptr || entry.claims.size() >= max_claims_per_key) {
         return;
@@ -58,7 +54,7 @@
     entry.claims.push_back({claim.id, wins ? claim_fate::held : claim_fate::lost, state.next, claim.expiry});
 }
 
-static void fold(partition_state& state, const abandoned_record& abandoned, const ledger_settings&)
+static void fold(partition_state& state, const abandoned_record& abandoned)
 {
     key_entry& entry = entry_of(state, abandoned.key, abandoned.key_time);
     if (claim_entry* claim = find_claim(entry, abandoned.id)) {
@@ -71,7 +67,7 @@
     }
 }
 
-static void fold(partition_state& state, const cancel_record& cancel, const ledger_settings&)
+static void fold(partition_state& state, const cancel_record& cancel)
 {
     key_entry& entry = entry_of(state, cancel.key, cancel.key_time);
     if (!entry.outcome_at && find_holder(entry) == nullptr) {
@@ -79,7 +75,7 @@
     }
 }
 
-static void fold(partition_state& state, const outcome_record& result, const ledger_settings&)
+static void fold(partition_state& state, const outcome_record& result)
 {
     const auto found = state.keys.find(result.key);
     if (found == state.keys.end() || found->second.outcome_at) {
@@ -91,11 +87,11 @@
     }
 }
 
-void fold_record(partition_state& state, std::string_view payload, const ledger_settings& settings)
+void fold_record(partition_state& state, std::string_view payload)
 {
     const auto record = decode_record(payload);
     if (record) {
-        std::visit([&](const auto& alternative) { fold(state, alternative, settings); }, *record);
+        std::visit([&](const auto& alternative) { fold(state, alternative); }, *record);
     }
     else {
         ++state.malformed;
--- a/unittests/ledger/ledger_fixture.h
+++ b/unittests/ledger/ledger_fixture.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,7 +23,7 @@
 };
 
 struct ledger_fixture {
-    explicit ledger_fixture(std::size_t vm_count, std::uint64_t seed = 1) : log(loop, seed)
+    explicit ledger_fixture(std::size_t vm_count, std::uint64_t seed = 1) : log(loop, seed), random(seed)
     {
         for (std::size_t index = 0; index < vm_count; ++index) {
             vms.push_back(std::make_shared<ledger_vm>());
@@ -37,7 +38,8 @@
         vms[index]->client = std::make_unique<claim_client>(
             loop, boot_id{++last_boot}, settings,
             [this, index](ledger_partition partition, unsigned attempt, const ledger_request& request) {
-                const std::size_t target = (first_owner + attempt) % vms.size();
+                // VMs may disagree on the owner.
+                const std::size_t target = (first_owner + attempt + (split_views ? index : 0)) % vms.size();
                 loop.schedule(hop, [this, index, target, partition, request, from = std::weak_ptr(vms[index])] {
                     deliver(target, partition, request, from);
                 });
@@ -46,11 +48,27 @@
 
     void kill(std::size_t index) { vms[index] = std::make_shared<ledger_vm>(); }
 
+    /// The log, with appends that report an error at once and take effect within 10 s after late_from.
+    log_service faulty_log()
+    {
+        log_service service = log.service();
+        service.append = [this, plain = service.append](append_request request, append_callback callback) {
+            if (!std::bernoulli_distribution{late_appends}(random)) {
+                plain(std::move(request), std::move(callback));
+                return;
+            }
+            loop.post([callback = std::move(callback)] { callback(failure(error_code::unavailable, "late")); });
+            loop.schedule(late_from + std::chrono::milliseconds{random() % 10'000},
+                          [this, request = std::move(request)] { log.append_now(request); });
+        };
+        return service;
+    }
+
     claim_owner& owner(std::size_t index, ledger_partition partition)
     {
         auto& slot = vms[index]->owners[partition];
         if (!slot) {
-            slot = std::make_unique<claim_owner>(loop, log.service(), partition, settings);
+            slot = std::make_unique<claim_owner>(loop, faulty_log(), partition, settings);
             slot->start();
         }
         return *slot;
@@ -117,9 +135,13 @@
 
     manual_event_loop loop;
     memory_log log;
+    std::mt19937_64 random;
+    double late_appends{0.0};
+    std::chrono::milliseconds late_from{0};
     ledger_settings settings;
     std::chrono::milliseconds hop{1};
     std::size_t first_owner{0};
+    bool split_views{false};
     std::uint64_t last_boot{0};
     std::vector<std::shared_ptr<ledger_vm>> vms;
 };
--- /dev/null
+++ b/unittests/ledger/ledger_rate_test.cpp
@@ -0,0 +1,113 @@
+// Gates the appends that claims, outcomes and bills cost at the peak rate.
+#include "ledger_fixture.h"
+
+#include <agatespar/ledger/usage_outbox.h>
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+// The log service takes several hundred appends a second; the ledger and billing together stay below this.
+static constexpr double append_budget_per_second = 300;
+static constexpr int peak_requests_per_second = 2500;
+static constexpr int non_idempotent_percent = 20;
+static constexpr int claims_per_second = peak_requests_per_second * non_idempotent_percent / 100;
+static constexpr int node_count = 340;
+
+namespace {
+
+struct claim_load {
+    double appends_per_second{0};
+    double records_per_append{0};
+    std::vector<duration> delays;
+    std::uint64_t unanswered{0};
+};
+
+} // namespace
+
+static claim_load run_claims(std::chrono::seconds span, const log_faults& faults)
+{
+    ledger_fixture world{4};
+    world.log.set_faults(faults);
+    for (std::uint32_t partition = 0; partition < ledger_partition_count; ++partition) {
+        world.owner(0, ledger_partition{partition});
+    }
+    world.loop.advance(1s);
+    const steady_time started = world.loop.time().now();
+    const std::uint64_t calls_before = world.log.append_calls();
+    claim_load load;
+    const std::int64_t total = claims_per_second * span.count();
+    for (std::int64_t index = 0; index < total; ++index) {
+        claim_client& client = *world.vms[1 + static_cast<std::size_t>(index % 3)]->client;
+        const steady_time sent = world.loop.time().now();
+        ++load.unanswered;
+        client.claim(world.order("key-" + std::to_string(index)), [&, sent](const outcome<claim_result>& result) {
+            --load.unanswered;
+            load.delays.push_back(world.loop.time().now() - sent);
+            const granted_claim claim = granted(result);
+            REQUIRE(client.begin_dispatch(claim));
+            world.loop.schedule(300ms, [&client, claim] {
+                client.record_outcome(claim, {claim.request, 200, "", "ok"});
+            });
+        });
+        world.loop.advance(std::chrono::microseconds{1s} / claims_per_second);
+    }
+    load.appends_per_second =
+        static_cast<double>(world.log.append_calls() - calls_before) / static_cast<double>(span.count());
+    world.loop.advance(5s);
+    std::uint64_t records = 0;
+    std::uint64_t appends = 0;
+    for (const auto& [partition, owner] : world.vms[0]->owners) {
+        records += owner->counters().appended_records;
+        appends += owner->counters().appends;
+    }
+    // The load ran for its whole span, and each claim and outcome went to the log.
+    REQUIRE(world.loop.time().now() - started >= span);
+    REQUIRE(records >= static_cast<std::uint64_t>(2 * total));
+    load.records_per_append = static_cast<double>(records) / static_cast<double>(appends);
+    std::sort(load.delays.begin(), load.delays.end());
+    return load;
+}
+
+static double run_bills(std::chrono::seconds span)
+{
+    manual_event_loop loop;
+    memory_log log{loop, 1};
+    std::vector<std::unique_ptr<usage_outbox>> vms;
+    usage_peers peers;
+    peers.choose_holder = [](const std::vector<boot_id>&) { return boot_id{1}; };
+    peers.send_hold = [](boot_id, const usage_hold&) {};
+    peers.send_held = [](boot_id, const usage_held&) {};
+    peers.send_release = [](boot_id, const usage_release&) {};
+    for (std::uint64_t index = 0; index < node_count; ++index) {
+        vms.push_back(std::make_unique<usage_outbox>(loop, log.service(), boot_id{index + 1}, usage_settings{}, peers));
+    }
+    const std::int64_t total = peak_requests_per_second * span.count();
+    for (std::int64_t index = 0; index < total; ++index) {
+        usage_outbox& vm = *vms[static_cast<std::size_t>(index) % vms.size()];
+        REQUIRE(vm.reserve());
+        vm.settle({}, [] {});
+        loop.advance(std::chrono::microseconds{1s} / peak_requests_per_second);
+    }
+    return static_cast<double>(log.append_calls()) / static_cast<double>(span.count());
+}
+
+SCENARIO("claims, outcomes and bills at the peak rate stay inside the log's append budget")
+{
+    const double bills = run_bills(20s);
+    for (const double lost_answers : {0.0, 0.1}) {
+        const claim_load load = run_claims(20s, {false, lost_answers, 5ms});
+        CHECK(load.unanswered == 0);
+        CHECK(load.appends_per_second + bills <= append_budget_per_second);
+        const auto share = [&load](double quantile) {
+            const auto index = static_cast<std::size_t>(quantile * static_cast<double>(load.delays.size() - 1));
+            return std::chrono::duration<double, std::milli>(load.delays[index]).count();
+        };
+        WARN("lost answers " << lost_answers << ": ledger " << load.appends_per_second << "/s with "
+                             << load.records_per_append << " records each, usage " << bills << "/s; claim takes ms p50 "
+                             << share(0.5) << " p99 " << share(0.99) << " max " << share(1.0));
+    }
+}
--- /dev/null
+++ b/unittests/ledger/ledger_schedules_test.cpp
@@ -0,0 +1,225 @@
+// Random schedules of callers, deaths, owners and log faults, checked for the invariants by name.
+#include "ledger_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int caller_count = 8;
+
+/// One caller of one key: sends it again after a timeout, and stops at an answer that settles the matter.
+struct caller {
+    std::string key;
+    wall_time key_time;
+    int submissions{0};
+    /// Answers to earlier submissions are no longer listened to.
+    int listening_to{0};
+    bool settled{false};
+    bool told_not_run{false};
+    int runs{0};
+};
+
+struct schedule_world {
+    explicit schedule_world(std::uint64_t seed) : ledger(3, seed), random(seed * 7919)
+    {
+        ledger.settings.key_window = 40s;
+        ledger.settings.window_slack = 15s;
+        ledger.settings.claim_lifetime = 10s;
+        ledger.settings.clock_allowance = 1s;
+        ledger.settings.max_run_time = 10s;
+        ledger.settings.min_snapshot_tail = 5;
+        for (std::size_t index = 0; index < ledger.vms.size(); ++index) {
+            ledger.boot(index);
+        }
+        for (caller& from : callers) {
+            from.key = "key-" + std::to_string(&from - callers.data());
+        }
+    }
+
+    std::chrono::milliseconds up_to(std::chrono::milliseconds bound)
+    {
+        return std::chrono::milliseconds{random() % static_cast<std::uint64_t>(bound.count())};
+    }
+
+    bool chance(double probability) { return std::bernoulli_distribution{probability}(random); }
+
+    void submit(caller& from)
+    {
+        if (from.settled || from.submissions == 5) {
+            return;
+        }
+        const int submission_number = ++from.submissions;
+        from.listening_to = submission_number;
+        const std::size_t vm = random() % ledger.vms.size();
+        if (submission_number > 1 && chance(0.2)) {
+            cancel(from, vm, submission_number);
+        }
+        else {
+            send_claim(from, vm, submission_number);
+        }
+        ledger.loop.schedule(2s + up_to(14s), [this, &from] { submit(from); });
+    }
+
+    claim_order order_of(const caller& from, int submission_number)
+    {
+        const bool first = submission_number == 1 && chance(0.5);
+        claim_order order = ledger.order(from.key, first ? submission::first : submission::possibly_repeated);
+        order.key_time = from.key_time;
+        order.patience = 500ms + up_to(5s);
+        return order;
+    }
+
+    void send_claim(caller& from, std::size_t vm, int submission_number)
+    {
+        const std::weak_ptr<ledger_vm> process = ledger.vms[vm];
+        ledger.vms[vm]->client->claim(order_of(from, submission_number), [this, &from, process, submission_number](
+                                                                             const outcome<claim_result>& result) {
+            if (!result) {
+                hear(from, submission_number, result.error().ran);
+                return;
+            }
+            if (std::holds_alternative<stored_outcome>(*result)) {
+                hear(from, submission_number, run_state::ran);
+                return;
+            }
+            // The holder may be paused here for longer than its claim lasts.
+            ledger.loop.schedule(chance(0.7) ? up_to(500ms) : up_to(20s),
+                                 [this, &from, process, submission_number, claim = granted(result)] {
+                                     dispatch(from, process, submission_number, claim);
+                                 });
+        });
+    }
+
+    void dispatch(caller& from, const std::weak_ptr<ledger_vm>& process, int submission_number,
+                  const granted_claim& claim)
+    {
+        const auto vm = process.lock();
+        if (!vm) {
+            return;
+        }
+        if (const auto verdict = vm->client->begin_dispatch(claim); !verdict) {
+            hear(from, submission_number, verdict.error().ran);
+            return;
+        }
+        ++from.runs;
+        ledger.loop.schedule(up_to(3s), [this, &from, process, submission_number, claim] {
+            if (const auto alive = process.lock()) {
+                alive->client->record_outcome(claim, {claim.request, 200, "", claim.key.key.value(), false});
+                hear(from, submission_number, run_state::ran);
+            }
+        });
+    }
+
+    void cancel(caller& from, std::size_t vm, int submission_number)
+    {
+        const claim_order order = order_of(from, submission_number);
+        ledger.vms[vm]->client->cancel(order.key, order.key_time, order.patience,
+                                       [this, &from, submission_number](const outcome<key_report>& report) {
+                                           if (report && report->state == ledger_verdict::cancelled) {
+                                               hear(from, submission_number, run_state::not_run);
+                                           }
+                                       });
+    }
+
+    void hear(caller& from, int submission_number, run_state ran)
+    {
+        if (submission_number != from.listening_to || from.settled) {
+            return;
+        }
+        from.settled = ran != run_state::outcome_unknown;
+        from.told_not_run = ran == run_state::not_run;
+    }
+
+    void break_something()
+    {
+        switch (random() % 8) {
+        case 0:
+        case 1: {
+            const std::size_t victim = random() % ledger.vms.size();
+            ledger.kill(victim);
+            ledger.boot(victim);
+            break;
+        }
+        case 2:
+            ledger.first_owner = random() % ledger.vms.size();
+            break;
+        case 3:
+            ledger.split_views = !ledger.split_views;
+            break;
+        case 4:
+            ledger.log.set_faults({!ledger.log.faults().down, 0.1 + 0.1 * static_cast<double>(random() % 5), 20ms});
+            break;
+        case 5:
+            ledger.late_appends = chance(0.5) ? 0.3 : 0.0;
+            break;
+        case 6:
+            ledger.log.set_faults({false, 0.3, up_to(1500ms)});
+            break;
+        default:
+            trim();
+        }
+    }
+
+    void trim()
+    {
+        const stream_name stream =
+            ledger_stream(partition_of(ledger.order(callers[random() % callers.size()].key).key));
+        const read_batch head = ledger.log.read_now({stream, log_offset{1}, 0});
+        const std::uint64_t kept = head.next.value() - head.first_retained.value();
+        if (kept > 0) {
+            ledger.log.trim(stream, log_offset{head.first_retained.value() + random() % kept});
+        }
+    }
+
+    void run()
+    {
+        for (caller& from : callers) {
+            ledger.loop.schedule(up_to(20s), [this, &from] {
+                from.key_time = ledger.loop.time().wall_now();
+                submit(from);
+            });
+        }
+        for (int fault = 0; fault < 12; ++fault) {
+            ledger.loop.advance(up_to(6s));
+            break_something();
+        }
+        ledger.log.set_faults({});
+        ledger.loop.advance(2min);
+    }
+
+    ledger_fixture ledger;
+    std::mt19937_64 random;
+    std::vector<caller> callers{caller_count};
+};
+
+} // namespace
+
+SCENARIO("runs_at_most_once and not_run_is_true hold over random schedules")
+{
+    int runs = 0;
+    int told_not_run = 0;
+    int settled = 0;
+    constexpr int seeds = 3000;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        schedule_world world{seed};
+        world.run();
+        for (const caller& from : world.callers) {
+            INFO("seed " << seed << ", key " << from.key);
+            INFO("runs_at_most_once");
+            REQUIRE(from.runs <= 1);
+            INFO("not_run_is_true");
+            REQUIRE((!from.told_not_run || from.runs == 0));
+            runs += from.runs;
+            told_not_run += from.told_not_run ? 1 : 0;
+            settled += from.settled ? 1 : 0;
+        }
+    }
+    // The schedules must neither refuse everything nor run everything, or the invariants say little.
+    CHECK(runs > seeds * caller_count / 4);
+    CHECK(told_not_run > seeds * caller_count / 40);
+    WARN("runs " << runs << ", told not run " << told_not_run << ", settled " << settled << " of "
+                 << seeds * caller_count);
+}
