--- /dev/null
+++ b/spec/claims.pml
@@ -0,0 +1,299 @@
+/* Claims of one key of a non-idempotent request.
+ *
+ * A caller sends the key to VM 0, stops waiting at some time and sends it to VM 1, and at last asks to cancel it. Both
+ * VMs claim through either of two owners of the partition, whose answers may be lost or take effect late. A holder may
+ * be paused past its claim's expiry or give up at any time. Part of the log may be trimmed before owner 1 reads it.
+ *
+ * runs_at_most_once: the request runs at most once.
+ * not_run_is_true:   a request that was told "not run" did not run and never will.
+ *
+ * Bounds: 2 claimants with 2 appends a claim, 1 cancel, 2 owners, 1 trimmed record, 1 change to a late owner.
+ */
+
+#define NONE 0
+#define CLAIM_0 1
+#define CLAIM_1 2
+#define ABANDON_0 3
+#define ABANDON_1 4
+#define CANCEL 5
+#define RECORD_KINDS 6
+#define LOG_BOUND 8
+#define APPEND_BOUND 2
+
+/* What a claimant does. */
+#define IDLE 0
+#define ASKING 1
+#define GRANTED 2
+#define CHECKED 3
+#define ENDED 4
+
+/* Verdicts. */
+#define NO_VERDICT 0
+#define WON 1
+#define LOST 2
+#define CLOSED 3
+
+byte log[LOG_BOUND];
+byte log_length = 0;
+bool trimmed = false;           /* the first record is gone */
+bool late[RECORD_KINDS];        /* an append that reported an error and has yet to take effect */
+
+byte first_read[2];             /* where each owner began to read */
+bool started[2];
+bool window_read[2];
+
+byte claimant[2];
+byte appends[2];
+bool expired[2];
+bool owes_abandon[2];
+byte cancels = 0;
+byte listening = 0;             /* whom the caller listens to: VM 0, VM 1, or 2 for the cancel */
+
+byte runs = 0;
+byte highest_fence = 0;
+bool told_not_run = false;
+
+/* Results of fold. */
+byte holder;                    /* 1 + the claimant that holds the key */
+bool closed;
+bool seen[2];
+
+inline fold(from, until)
+{
+    holder = 0;
+    closed = false;
+    seen[0] = false;
+    seen[1] = false;
+    index = from;
+    do
+    :: index < until ->
+        if
+        :: log[index] == CLAIM_0 || log[index] == CLAIM_1 ->
+            who = log[index] - CLAIM_0;
+            if
+            :: !seen[who] ->
+                seen[who] = true;
+                if
+                :: holder == 0 && !closed -> holder = who + 1
+#if defined(BROKEN_TAKE_OVER) || defined(BROKEN_FENCED_TAKE_OVER)
+                :: holder != 0 && expired[holder - 1] -> holder = who + 1
+#endif
+                :: else
+                fi
+            :: else
+            fi
+        :: log[index] == ABANDON_0 || log[index] == ABANDON_1 ->
+            who = log[index] - ABANDON_0;
+            seen[who] = true;
+            if
+            :: holder == who + 1 -> holder = 0
+            :: else
+            fi
+        :: log[index] == CANCEL ->
+            if
+            :: holder == 0 -> closed = true
+#ifdef BROKEN_CANCEL
+            :: holder != 0 -> closed = true
+#endif
+            :: else
+            fi
+        fi;
+        index++
+    :: else -> break
+    od;
+    index = 0;
+    who = 0
+}
+
+inline forget_fold()
+{
+    holder = 0;
+    closed = false;
+    seen[0] = false;
+    seen[1] = false
+}
+
+/* The append takes effect or not, now or later; its answer tells nothing that the model relies on. */
+inline append(record)
+{
+    if
+    :: log_length < LOG_BOUND -> log[log_length] = record; log_length++
+    :: late[record] = true
+    :: skip
+    fi
+}
+
+/* An owner, if it is running, judges by all or part of the log: a verdict must not depend on how far it has read. */
+inline judge(vm, owner, verdict)
+{
+    verdict = NO_VERDICT;
+    if
+    :: started[owner] ->
+        select(prefix : 0 .. log_length);
+        fold(first_read[owner], prefix);
+        prefix = 0;
+        if
+        :: closed && window_read[owner] -> verdict = CLOSED
+        :: !closed && holder == vm + 1 && window_read[owner] -> verdict = WON
+        :: !closed && holder != 0 && holder != vm + 1 -> verdict = LOST
+        :: else
+        fi;
+        forget_fold()
+    :: else
+    fi
+}
+
+inline tell_not_run()
+{
+    assert(runs == 0);          /* not_run_is_true */
+    told_not_run = true
+}
+
+/* A refusal without a verdict proves something only to a caller that never sent the key before. */
+inline refuse(vm)
+{
+    if
+#ifdef BROKEN_REFUSAL
+    :: listening == vm -> tell_not_run()
+#else
+    :: vm == 0 && listening == 0 -> tell_not_run()
+#endif
+    :: else
+    fi
+}
+
+inline dispatch(vm)
+{
+#ifdef BROKEN_FENCED_TAKE_OVER
+    /* A backend server that refuses an older fencing number. */
+    fold(0, log_length);
+    fence = 1;
+    do
+    :: fence <= log_length && log[fence - 1] != CLAIM_0 + vm -> fence++
+    :: else -> break
+    od;
+    if
+    :: fence >= highest_fence ->
+        highest_fence = fence;
+        assert(runs == 0);
+        runs++
+    :: else
+    fi;
+    fence = 0
+#else
+    assert(runs == 0);          /* runs_at_most_once */
+    assert(!told_not_run);      /* not_run_is_true */
+    runs++
+#endif
+}
+
+active proctype world()
+{
+    byte vm = 0;
+    byte owner = 0;
+    byte verdict = NO_VERDICT;
+    byte record = NONE;
+    byte index = 0;
+    byte who = 0;
+    byte fence = 0;
+    byte prefix = 0;
+
+    d_step {
+        started[0] = true;
+        window_read[0] = true
+    }
+
+end:
+    do
+    /* The caller. */
+    :: atomic { claimant[0] == IDLE -> claimant[0] = ASKING }
+    :: atomic { claimant[0] != IDLE && listening == 0 && !told_not_run -> listening = 1; claimant[1] = ASKING }
+    :: atomic { listening == 1 && !told_not_run -> listening = 2 }
+
+    /* The claimants. */
+    :: atomic {
+        select(vm : 0 .. 1);
+        if
+        :: claimant[vm] == ASKING && appends[vm] < APPEND_BOUND ->
+            appends[vm]++;
+#ifdef BROKEN_NO_READ_BACK
+            if
+            :: log_length < LOG_BOUND -> log[log_length] = CLAIM_0 + vm; log_length++; claimant[vm] = GRANTED
+            :: skip
+            fi
+#else
+            append(CLAIM_0 + vm)
+#endif
+        :: claimant[vm] == ASKING ->
+            select(owner : 0 .. 1);
+            judge(vm, owner, verdict);
+            if
+            :: verdict == WON -> claimant[vm] = GRANTED
+            :: verdict == LOST -> claimant[vm] = ENDED
+            :: verdict == CLOSED ->
+                claimant[vm] = ENDED;
+                if
+                :: listening == vm -> tell_not_run()
+                :: else
+                fi
+            :: else
+            fi
+        :: claimant[vm] == ASKING || claimant[vm] == GRANTED ->
+            refuse(vm);
+            owes_abandon[vm] = true;
+#ifdef BROKEN_GIVES_UP_AND_RUNS
+            if
+            :: claimant[vm] == GRANTED -> claimant[vm] = CHECKED
+            :: else -> claimant[vm] = ENDED
+            fi
+#else
+            claimant[vm] = ENDED
+#endif
+        :: claimant[vm] == GRANTED && !expired[vm] -> claimant[vm] = CHECKED
+        :: claimant[vm] == CHECKED -> dispatch(vm); claimant[vm] = ENDED
+        :: owes_abandon[vm] -> owes_abandon[vm] = false; append(ABANDON_0 + vm)
+        :: else
+        fi;
+        verdict = NO_VERDICT; owner = 0; vm = 0
+       }
+    :: atomic { claimant[0] >= GRANTED && !expired[0] -> expired[0] = true }
+    :: atomic { claimant[1] >= GRANTED && !expired[1] -> expired[1] = true }
+
+    /* The cancel. */
+    :: atomic { listening == 2 && cancels == 0 -> cancels = 1; append(CANCEL) }
+    :: atomic {
+        listening == 2 && !told_not_run ->
+        select(owner : 0 .. 1);
+        judge(2, owner, verdict);
+        if
+        :: verdict == CLOSED -> tell_not_run()
+        :: else
+        fi;
+        verdict = NO_VERDICT; owner = 0
+       }
+
+    /* The log and its owners. */
+    :: atomic {
+        select(record : CLAIM_0 .. CANCEL);
+        if
+        :: late[record] && log_length < LOG_BOUND ->
+            late[record] = false;
+            log[log_length] = record;
+            log_length++
+        :: else
+        fi;
+        record = NONE
+       }
+    :: atomic { log_length > 0 && !trimmed -> trimmed = true }
+    :: atomic {
+        !started[1] ->
+        started[1] = true;
+        first_read[1] = (trimmed -> 1 : 0);
+#ifdef BROKEN_TRIMMED_WINDOW
+        window_read[1] = true
+#else
+        window_read[1] = !trimmed
+#endif
+       }
+    od
+}
--- /dev/null
+++ b/spec/config_fold.pml
@@ -0,0 +1,178 @@
+/* The configuration as a fold of patches from the log, with snapshots, trimming and peers' copies.
+ *
+ * Operators append patches against the number that they last saw; answers are lost, so a patch may stand in the log
+ * twice. Each VM folds the log. The log's oldest records are trimmed at any time; a VM that falls behind, or starts
+ * afresh, takes a snapshot or a peer's copy.
+ *
+ * never_reverts:     a VM's number never falls while it lives.
+ * gapless:           numbers are accepted one by one, and one number means one state on every VM.
+ * verdict_is_true:   an operator is told "accepted" if and only if the log's order accepted the patch.
+ *
+ * Bounds: 3 patches with 2 appends each, 2 VMs, of which one is replaced once, 1 snapshot kept, which any VM
+ * overwrites.
+ */
+
+#define PATCHES 3
+#define LOG_BOUND 6
+#define READERS 2
+#define SNAPSHOTS 1
+
+/* A folded prefix of the log. The chain holds the accepted patches in order, two bits each. */
+typedef fold_state {
+    byte next;
+    byte number;
+    byte chain;
+    byte judged;
+    byte accepted
+}
+
+typedef snapshot_record {
+    bool written;
+    fold_state folded
+}
+
+byte log_patch[LOG_BOUND];
+byte log_base[LOG_BOUND];
+byte log_length = 0;
+byte first_retained = 0;
+
+fold_state truth;
+byte truth_chain[PATCHES + 1];
+
+byte appends[PATCHES];
+byte base_of[PATCHES];
+fold_state reader[READERS];
+bool restarted;
+snapshot_record snapshot[SNAPSHOTS];
+
+inline copy_state(to, from)
+{
+    to.next = from.next;
+    to.number = from.number;
+    to.chain = from.chain;
+    to.judged = from.judged;
+    to.accepted = from.accepted
+}
+
+inline fold_patch(state, patch, base)
+{
+    if
+#ifndef BROKEN_JUDGED_TWICE
+    :: state.judged & (1 << patch) -> skip
+#endif
+    :: else ->
+        state.judged = state.judged | (1 << patch);
+        if
+        :: base == state.number ->
+            state.number++;
+            state.chain = state.chain * 4 + patch + 1;
+            state.accepted = state.accepted | (1 << patch)
+        :: else -> state.accepted = state.accepted & ~(1 << patch)
+        fi
+    fi;
+    state.next++
+}
+
+inline check_reader(id)
+{
+    assert(reader[id].number <= truth.number);
+    assert(reader[id].chain == truth_chain[reader[id].number]);               /* gapless */
+    assert((reader[id].accepted & ~truth.accepted) == 0);                     /* verdict_is_true */
+    assert((reader[id].judged & truth.accepted & ~reader[id].accepted) == 0)
+}
+
+inline move_reader(id, state)
+{
+    assert(state.number >= reader[id].number);                                /* never_reverts */
+    copy_state(reader[id], state);
+    check_reader(id)
+}
+
+active proctype world()
+{
+    byte id = 0;
+    byte patch = 0;
+    byte slot = 0;
+
+end:
+    do
+    /* An operator sends a patch against the number that some VM shows, or sends it again. */
+    :: atomic {
+        select(patch : 0 .. PATCHES - 1);
+        select(id : 0 .. READERS - 1);
+        if
+        :: appends[patch] < 2 ->
+            d_step {
+                if
+                :: appends[patch] == 0 -> base_of[patch] = reader[id].number
+                :: else
+                fi;
+                appends[patch]++;
+                log_patch[log_length] = patch;
+                log_base[log_length] = base_of[patch];
+                log_length++;
+                fold_patch(truth, patch, base_of[patch]);
+                truth_chain[truth.number] = truth.chain
+            }
+        :: else
+        fi;
+        patch = 0;
+        id = 0
+       }
+
+    /* The log trims its oldest record. */
+    :: d_step { first_retained < log_length -> first_retained++ }
+
+    :: atomic {
+        select(id : 0 .. READERS - 1);
+        select(slot : 0 .. SNAPSHOTS - 1);
+        if
+        /* A VM folds the next record. */
+        :: reader[id].next >= first_retained && reader[id].next < log_length ->
+            d_step {
+                fold_patch(reader[id], log_patch[reader[id].next], log_base[reader[id].next]);
+                check_reader(id)
+            }
+        /* Behind the trimmed part, or afresh, it takes a snapshot and goes on from the offset that this covers. */
+        :: snapshot[slot].written &&
+#ifdef BROKEN_OLD_SNAPSHOT
+           (reader[id].next < first_retained || reader[id].number == 0) ->
+#else
+           snapshot[slot].folded.next > reader[id].next ->
+#endif
+            d_step { move_reader(id, snapshot[slot].folded) }
+#ifdef BROKEN_SKIPPED_GAP
+        :: reader[id].next < first_retained -> reader[id].next = first_retained
+#endif
+        /* It takes a peer's copy, if that has a larger number. */
+        :: reader[1 - id].number > reader[id].number -> d_step { move_reader(id, reader[1 - id]) }
+        /* It writes a snapshot. */
+        :: reader[id].next > 0 ->
+            d_step {
+                snapshot[slot].written = true;
+                copy_state(snapshot[slot].folded, reader[id]);
+#ifdef BROKEN_SNAPSHOT_POSITION
+                snapshot[slot].folded.next = log_length;
+#endif
+#ifdef BROKEN_SNAPSHOT_WITHOUT_VERDICTS
+                snapshot[slot].folded.judged = 0;
+                snapshot[slot].folded.accepted = 0
+#endif
+            }
+        /* Its VM is replaced by a fresh one. */
+        :: id == 1 && !restarted ->
+            d_step {
+                restarted = true;
+                reader[id].next = 0;
+                reader[id].number = 0;
+                reader[id].chain = 0;
+                reader[id].judged = 0;
+                reader[id].accepted = 0
+            }
+        :: else
+        fi;
+        id = 0;
+        slot = 0
+       }
+    od
+}
