Test the stand-ins through the adapters

A break fault closed the connection before the last events were written, so that a stream that should break after three tokens could show two; it now waits for the write.

--- a/tools/agatespar-standin/engine_role.cpp
+++ b/tools/agatespar-standin/engine_role.cpp
@@ -1,5 +1,6 @@
 // The model engine's stand-in: slots, a queue by priority, prefix cache, cold starts, crashes, orders and lagging load.
 #include "answer_text.h"
+#include "engine_job.h"
 #include "prefix_cache.h"
 #include "role.h"
 
@@ -16,40 +17,10 @@
 
 constexpr const char* killer_marker = "KILL-SERVER";
 constexpr std::size_t max_queue = 256;
+constexpr std::chrono::milliseconds write_poll_interval{1};
 // A cold engine takes this many times longer for each token.
 constexpr int cold_slowdown = 3;
 
-struct engine_faults {
-    bool refuse{false};
-    bool leave{false};
-    bool no_end{false};
-    bool crossed{false};
-    /// Tokens after which each attempt's connection breaks; zero for never.
-    std::uint64_t break_stream_after{0};
-    std::chrono::milliseconds late{0};
-    /// "model@version" of the versions that answer badly.
-    std::set<std::string> bad;
-};
-
-// One attempt that the engine works on or has queued.
-struct job {
-    std::shared_ptr<exchange> call;
-    std::uint64_t attempt{0};
-    std::string session;
-    int priority{0};
-    bool stream{true};
-    std::string finish_reason;
-    std::vector<std::string> tokens;
-    std::uint64_t next{0};
-    std::uint64_t sent{0};
-    std::uint64_t prompt_tokens{0};
-    std::uint64_t cached_tokens{0};
-    // The run of the engine that the job belongs to.
-    std::uint64_t start{0};
-};
-
-using job_handle = std::shared_ptr<job>;
-
 class engine_role final : public role {
 public:
     engine_role(event_loop& loop, const role_settings& settings, crash_function crash)
@@ -75,6 +46,7 @@
     void start_next();
     void begin(const job_handle& work);
     void step(const job_handle& work);
+    void break_off(const job_handle& work);
     void finish(const job_handle& work);
     void leave_slot(const job_handle& work);
     void refresh_report();
@@ -255,8 +227,7 @@
         return;
     }
     if (faults_.break_stream_after != 0 && work->sent >= faults_.break_stream_after) {
-        work->call->drop();
-        leave_slot(work);
+        break_off(work);
         return;
     }
     if (work->stream) {
@@ -271,6 +242,17 @@
     loop_.schedule(settings_.decode_step * (warm_ ? 1 : cold_slowdown), [this, work] { step(work); });
 }
 
+// Closes the connection once the tokens before the break are written.
+void engine_role::break_off(const job_handle& work)
+{
+    if (work->call->unwritten_events() != 0) {
+        loop_.schedule(write_poll_interval, [this, work] { step(work); });
+        return;
+    }
+    work->call->drop();
+    leave_slot(work);
+}
+
 void engine_role::finish(const job_handle& work)
 {
     nlohmann::json end{{"type", "end"},
@@ -360,13 +342,7 @@
 
 void engine_role::set_faults(const nlohmann::json& faults)
 {
-    take_field(faults, "refuse", faults_.refuse);
-    take_field(faults, "leave", faults_.leave);
-    take_field(faults, "no_end", faults_.no_end);
-    take_field(faults, "crossed", faults_.crossed);
-    take_field(faults, "break_stream_after", faults_.break_stream_after);
-    take_field(faults, "late_ms", faults_.late);
-    take_field(faults, "bad", faults_.bad);
+    faults_.take(faults);
     if (faults.value("cold", false)) {
         turn_cold();
     }
--- a/tools/agatespar-standin/http_server.cpp
+++ b/tools/agatespar-standin/http_server.cpp
@@ -1,6 +1,7 @@
 // A small HTTP server for the stand-ins, over libsoup.
 #include "http_server.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace agatespar::standin {
@@ -9,6 +10,7 @@
     : message_(static_cast<SoupServerMessage*>(g_object_ref(message))), path_(std::move(path))
 {
     g_signal_connect(message_, "finished", G_CALLBACK(&exchange::on_finished), this);
+    g_signal_connect(message_, "wrote-chunk", G_CALLBACK(&exchange::on_wrote_chunk), this);
     soup_server_message_pause(message_);
 }
 
@@ -23,6 +25,13 @@
     static_cast<exchange*>(data)->open_ = false;
 }
 
+void exchange::on_wrote_chunk(SoupServerMessage* /*message*/, gpointer data)
+{
+    auto* self = static_cast<exchange*>(data);
+    // The chunk that ends a body is no event.
+    self->unwritten_events_ -= std::min<std::size_t>(self->unwritten_events_, 1);
+}
+
 std::string exchange::method() const
 {
     return soup_server_message_get_method(message_);
@@ -94,6 +103,7 @@
     const std::string text = "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY, text.data(),
                              text.size());
+    ++unwritten_events_;
     soup_server_message_unpause(message_);
 }
 
--- a/tools/agatespar-standin/http_server.h
+++ b/tools/agatespar-standin/http_server.h
@@ -34,6 +34,8 @@
     void begin_events();
     void send_event(const nlohmann::json& data);
     void end_events();
+    /// @return how many events wait to be written to the connection.
+    std::size_t unwritten_events() const { return unwritten_events_; }
     /// Closes the connection, whatever was sent.
     void drop();
     /// @return whether the caller can still be answered.
@@ -41,10 +43,12 @@
 
 private:
     static void on_finished(SoupServerMessage* message, gpointer data);
+    static void on_wrote_chunk(SoupServerMessage* message, gpointer data);
 
     SoupServerMessage* message_;
     std::string path_;
     bool open_{true};
+    std::size_t unwritten_events_{0};
 };
 
 using exchange_handler = std::function<void(const std::shared_ptr<exchange>&)>;
--- /dev/null
+++ b/tools/agatespar-standin/tests/standin_test.cpp
@@ -0,0 +1,311 @@
+// Tests of the stand-ins through the adapters: what a platform does, and what it does at its worst.
+#include "platform/test_server.h"
+#include "role.h"
+
+#include <agatespar/platform/http_engine.h>
+#include <agatespar/platform/http_log.h>
+#include <agatespar/platform/http_plain_service.h>
+#include <agatespar/platform/soup_http_client.h>
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace agatespar::standin;
+using namespace agatespar::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One stand-in on the test's own loop, and a client to reach it.
+struct running_standin {
+    glib_event_loop loop;
+    soup_http_client owner{loop};
+    http_client client{owner.client()};
+    std::unique_ptr<role> service;
+    http_server server{[this](const std::shared_ptr<exchange>& call) { service->handle(call); }};
+
+    running_standin() { REQUIRE(server.listen("127.0.0.1", 0)); }
+    std::string url() const { return "http://127.0.0.1:" + std::to_string(server.port()); }
+    void crash(std::chrono::milliseconds down)
+    {
+        server.stop();
+        loop.schedule(down, [this] { REQUIRE(server.restart()); });
+    }
+};
+
+struct attempt_result {
+    std::string text;
+    std::uint64_t tokens{0};
+    std::optional<outcome<engine_finish>> end;
+
+    engine_callbacks callbacks()
+    {
+        engine_callbacks made;
+        made.on_start = [](server_start_id) {};
+        made.on_tokens = [this](const engine_tokens& piece) {
+            text += piece.text;
+            tokens += piece.count.value();
+        };
+        made.on_end = [this](const engine_finish& finish) { end = finish; };
+        made.on_error = [this](const error& reason) { end = tl::make_unexpected(reason); };
+        return made;
+    }
+};
+
+struct engine_bench : running_standin {
+    role_settings settings;
+    engine_client engine{make_http_engine(client)};
+    std::uint64_t last_attempt{0};
+
+    engine_bench()
+    {
+        settings.versions = {"m@1"};
+        settings.decode_step = 0ms;
+        settings.restart_time = 10ms;
+        settings.load_time = 1ms;
+        settings.report_lag = 1ms;
+        settings.warm_after = 2;
+        settings.fences = true;
+        service = make_engine_role(loop, settings, [this](std::chrono::milliseconds down) { crash(down); });
+    }
+    engine_request request(const std::string& content)
+    {
+        engine_request made;
+        made.server_url = url();
+        made.attempt = attempt_id{++last_attempt};
+        made.request = request_id{"r"};
+        made.version = {model_name{"m"}, version_name{"1"}};
+        made.messages_json = nlohmann::json::array({{{"role", "user"}, {"content", content}}}).dump();
+        return made;
+    }
+    attempt_result run(const engine_request& wanted)
+    {
+        attempt_result result;
+        engine.start_completion(wanted, result.callbacks());
+        run_until([&] { return result.end.has_value(); });
+        return result;
+    }
+    outcome<load_report> poll()
+    {
+        return wait_for<load_report>([this](const auto& callback) { engine.poll_load(url(), callback); });
+    }
+};
+
+} // namespace
+
+SCENARIO("an engine gives one prompt one whole answer")
+{
+    engine_bench bench;
+    const attempt_result whole = bench.run(bench.request("Which wood?"));
+    REQUIRE(whole.end->has_value());
+    CHECK(whole.text.starts_with("[m@1 "));
+    CHECK(whole.text.ends_with(" Which wood?]"));
+    CHECK(bench.run(bench.request("Which wood?")).text == whole.text);
+    CHECK(bench.run(bench.request("Which finish?")).text != whole.text);
+
+    WHEN("streams break and are resumed at their offsets")
+    {
+        bench.service->set_faults({{"break_stream_after", 3}});
+        std::string text;
+        engine_request request = bench.request("Which wood?");
+        attempt_result part = bench.run(request);
+        while (!part.end->has_value()) {
+            text += part.text;
+            REQUIRE(part.tokens == 3);
+            const std::uint64_t next = request.resume_from.value() + part.tokens;
+            request = bench.request("Which wood?");
+            request.resume_from = token_offset{next};
+            part = bench.run(request);
+        }
+        THEN("the parts make up the whole")
+        {
+            CHECK(text + part.text == whole.text);
+            CHECK(part.end->value().usage.completion == whole.end->value().usage.completion);
+        }
+    }
+    WHEN("answers lack their end or are crossed")
+    {
+        for (const char* fault : {"no_end", "crossed"}) {
+            bench.service->set_faults({{fault, true}});
+            CHECK(!bench.run(bench.request("Which wood?")).end->has_value());
+            bench.service->set_faults({{fault, false}});
+        }
+    }
+    WHEN("a version turns bad")
+    {
+        bench.service->set_faults({{"bad", {"m@1"}}});
+        CHECK(bench.run(bench.request("Which wood?")).text.find("garbled") != std::string::npos);
+    }
+    WHEN("the server is leaving")
+    {
+        bench.service->set_faults({{"leave", true}});
+        const auto end = *bench.run(bench.request("Which wood?")).end;
+        REQUIRE(!end);
+        CHECK(end.error().ran == run_state::not_run);
+    }
+}
+
+SCENARIO("a cold engine falls over under full load and a warm one does not")
+{
+    engine_bench bench;
+    const auto first_start = bench.poll()->start;
+    const auto run_at_once = [&bench](std::size_t count) {
+        std::vector<attempt_result> results(count);
+        for (attempt_result& result : results) {
+            bench.engine.start_completion(bench.request("load"), result.callbacks());
+        }
+        run_until([&] {
+            return std::all_of(results.begin(), results.end(),
+                               [](const auto& result) { return result.end.has_value(); });
+        });
+        return std::count_if(results.begin(), results.end(),
+                             [](const auto& result) { return result.end->has_value(); });
+    };
+
+    WHEN("more come than a cold engine bears")
+    {
+        CHECK(run_at_once(bench.settings.cold_slots + 1) == 0);
+        run_until([&] { return bench.poll().has_value(); });
+        THEN("it comes back as another run, cold")
+        {
+            run_until([&] { return bench.poll()->start != first_start; });
+            CHECK(!bench.poll()->warm);
+            CHECK(bench.service->counts().at("crashes") == 1);
+        }
+    }
+    WHEN("it has become warm")
+    {
+        CHECK(run_at_once(bench.settings.warm_after) == bench.settings.warm_after);
+        run_until([&] { return bench.poll()->warm; });
+        THEN("it bears all its slots, until it turns cold without warning")
+        {
+            CHECK(run_at_once(bench.settings.slots) == bench.settings.slots);
+            bench.service->set_faults({{"cold", true}});
+            CHECK(run_at_once(bench.settings.slots) == 0);
+        }
+    }
+    WHEN("a request kills servers")
+    {
+        CHECK(!bench.run(bench.request("please KILL-SERVER")).end->has_value());
+        CHECK(bench.service->counts().at("crashes") == 1);
+        CHECK(bench.service->counts().at("runs").at("r") == 1);
+    }
+}
+
+SCENARIO("an engine reaches the ordered state and refuses old orders")
+{
+    engine_bench bench;
+    const auto order = [&bench](const char* version, std::uint64_t fence) {
+        engine_order wanted;
+        wanted.server_url = bench.url();
+        wanted.versions = {{model_name{"m"}, version_name{version}}};
+        wanted.fence = fencing_number{fence};
+        return wait_for<order_receipt>([&](const auto& callback) { bench.engine.send_order(wanted, callback); });
+    };
+    REQUIRE(order("2", 5));
+    const auto stale = order("1", 4);
+    REQUIRE(!stale);
+    CHECK(stale.error().code == error_code::conflict);
+    const std::vector<engine_version> wanted{{model_name{"m"}, version_name{"2"}}};
+    run_until([&] { return bench.poll()->versions == wanted; });
+    const auto end = *bench.run(bench.request("still 1")).end;
+    REQUIRE(!end);
+    CHECK(end.error().ran == run_state::not_run);
+}
+
+SCENARIO("a plain service counts each run of a key")
+{
+    running_standin standin;
+    role_settings settings;
+    settings.fences = true;
+    standin.service = make_plain_role(standin.loop, settings);
+    const plain_service_client service = make_http_plain_service(standin.client);
+    plain_call call;
+    call.server_url = standin.url();
+    call.attempt = attempt_id{1};
+    call.method = "book";
+    call.key = idempotency_key{"k"};
+    const auto run = [&] {
+        return wait_for<plain_answer>([&](const auto& callback) { service.call(call, callback); });
+    };
+    const auto runs = [&] { return standin.service->counts().at("runs").value("k", 0); };
+
+    WHEN("answers are lost after the effect")
+    {
+        standin.service->set_faults({{"lose_answer", true}});
+        const auto answer = run();
+        REQUIRE(!answer);
+        CHECK(answer.error().ran == run_state::outcome_unknown);
+        CHECK(runs() == 1);
+    }
+    WHEN("it hangs")
+    {
+        standin.service->set_faults({{"hang", true}});
+        call.timeout = 20ms;
+        const auto answer = run();
+        REQUIRE(!answer);
+        CHECK(answer.error().code == error_code::deadline_exceeded);
+        CHECK(runs() == 1);
+    }
+    WHEN("an old fencing number comes after a newer one")
+    {
+        call.fence = fencing_number{8};
+        CHECK(run());
+        call.fence = fencing_number{7};
+        const auto answer = run();
+        REQUIRE(!answer);
+        CHECK(answer.error().ran == run_state::not_run);
+        CHECK(runs() == 1);
+    }
+}
+
+SCENARIO("the log loses answers after their effect and trims old records")
+{
+    running_standin standin;
+    role_settings settings;
+    settings.retained_records = 2;
+    standin.service = make_log_role(standin.loop, settings);
+    const log_service log = make_http_log(standin.client, standin.url());
+    const auto append = [&](const std::string& payload) {
+        return wait_for<append_receipt>([&](const auto& callback) {
+            log.append({stream_name{"s"}, {payload}}, callback);
+        });
+    };
+    const auto read = [&](std::chrono::milliseconds wait) {
+        return wait_for<read_batch>([&](const auto& callback) {
+            log.read({stream_name{"s"}, log_offset{1}, 10, wait}, callback);
+        });
+    };
+
+    WHEN("an answer is lost")
+    {
+        standin.service->set_faults({{"lost_answers", 1.0}});
+        const auto receipt = append("a");
+        REQUIRE(!receipt);
+        CHECK(receipt.error().ran == run_state::outcome_unknown);
+        CHECK(read(0ms)->records.size() == 1);
+    }
+    WHEN("more records come than are kept")
+    {
+        for (const char* payload : {"a", "b", "c"}) {
+            REQUIRE(append(payload));
+        }
+        const auto batch = read(0ms);
+        CHECK(batch->first_retained == log_offset{2});
+        CHECK(batch->records.at(0).payload == "b");
+    }
+    WHEN("it is down")
+    {
+        standin.service->set_faults({{"down", true}});
+        CHECK(!append("a"));
+        CHECK(!read(0ms));
+    }
+    WHEN("a reader waits for the first record")
+    {
+        std::optional<outcome<read_batch>> batch;
+        log.read({stream_name{"s"}, log_offset{1}, 10, 10s}, [&](const auto& result) { batch = result; });
+        REQUIRE(append("a"));
+        run_until([&] { return batch.has_value(); });
+        CHECK(batch->value().records.size() == 1);
+    }
+}
