--- /dev/null
+++ b/benchmarks/policy/entry_vm.cpp
@@ -0,0 +1,312 @@
+// One entry VM: how it takes in, plans, places and queues requests.
+#include "entry_vm.h"
+
+#include <agatespar/routing/prediction.h>
+#include <agatespar/routing/rollout.h>
+
+#include <algorithm>
+#include <numeric>
+
+namespace agatespar::bench {
+
+// How often a request looks for another server at once when an owner refuses it a permit.
+static constexpr int most_permit_denials = 3;
+// The share of a server's slots that is kept for the class with the shortest deadline.
+static constexpr double reserved_share = 0.07;
+static constexpr std::chrono::milliseconds queue_poll{100};
+// Until answers were seen, a class is taken to be this long.
+static constexpr double assumed_output_tokens = 200;
+
+static cascade_settings settings_of(const scenario&)
+{
+    return {};
+}
+
+entry_vm::entry_vm(world& around, std::size_t zone, std::size_t boot)
+    : world_(around), zone_(zone), boot_(boot_id{boot}), class_priority_(around.setting().classes.size()),
+      counts_(boot_, around.setting().versions.size(), around.setting().classes.size()),
+      quality_(around.setting().versions.size(), around.setting().classes.size(),
+               {around.setting().rating_false_good, around.setting().rating_false_bad}),
+      planner_(settings_of(around.setting()), around.setting().classes.size()),
+      traffic_(boot_, around.setting().classes.size())
+{
+    build_view();
+    make_guards();
+    const auto& classes = world_.setting().classes;
+    std::vector<std::size_t> order(classes.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::stable_sort(order.begin(), order.end(),
+                     [&](auto a, auto b) { return classes[a].deadline_s < classes[b].deadline_s; });
+    for (std::size_t i = 0; i < order.size(); ++i)
+        class_priority_[order[i]] = i;
+    tick();
+}
+
+void entry_vm::build_view()
+{
+    const scenario& s = world_.setting();
+    for (std::size_t i = 0; i < s.versions.size(); ++i) {
+        const version_spec& spec = s.versions[i];
+        version_view version;
+        version.model = model_index{static_cast<std::uint8_t>(s.model_of(i))};
+        version.share = spec.share;
+        version.cost_per_1k_tokens = spec.cost_per_1k_tokens;
+        version.prefill_tokens_per_s = spec.prefill_tokens_per_s;
+        version.decode_ms_per_token = spec.decode_ms_per_token;
+        version.decode_slope = spec.decode_slope;
+        view_.versions.push_back(version);
+    }
+    for (std::size_t i = 0; i < s.servers.size(); ++i) {
+        if (s.servers[i].zone != zone_)
+            continue;
+        locals_[i] = globals_.size();
+        globals_.push_back(i);
+        server_view server;
+        server.version = version_index{static_cast<std::uint8_t>(s.servers[i].version)};
+        server.slots = static_cast<std::uint16_t>(s.servers[i].slots);
+        server.limit = server.slots;
+        view_.servers.push_back(server);
+    }
+    for (const zone_spec& zone : s.zones)
+        view_.zones.push_back({.one_way_ms = (zone.one_way_ms + s.zones[zone_].one_way_ms) / 2, .free_slots = {}});
+    view_.own_zone = zone_index{static_cast<std::uint8_t>(zone_)};
+    view_.weights.push_back(s.weights);
+    index_servers(view_);
+}
+
+/// Watches every version against the one of its model with the largest share.
+void entry_vm::make_guards()
+{
+    guards_.clear();
+    if (!world_.chosen().guard)
+        return;
+    for (std::size_t i = 0; i < view_.versions.size(); ++i) {
+        std::size_t incumbent = i;
+        for (std::size_t k = 0; k < view_.versions.size(); ++k) {
+            const version_view& other = view_.versions[k];
+            if (other.model == view_.versions[i].model && !other.withdrawn &&
+                other.share > view_.versions[incumbent].share)
+                incumbent = k;
+        }
+        if (incumbent != i)
+            guards_.emplace_back(guard_settings{}, version_index{static_cast<std::uint8_t>(i)},
+                                 version_index{static_cast<std::uint8_t>(incumbent)});
+    }
+}
+
+double entry_vm::expected_output(std::size_t request_class) const
+{
+    return traffic_.mean_output_tokens(class_index{static_cast<std::uint8_t>(request_class)}, assumed_output_tokens);
+}
+
+double entry_vm::service_ms(const live_request& request, version_index version) const
+{
+    const version_view& v = view_.versions[version.value()];
+    const double decode_ms = v.decode_ms_per_token * (1 + v.decode_slope);
+    return request.prompt_tokens * 1000 / v.prefill_tokens_per_s + request.route.expected_output_tokens * decode_ms;
+}
+
+void entry_vm::fill_route(live_request& request)
+{
+    const scenario& s = world_.setting();
+    const class_spec& spec = s.classes[request.request_class];
+    route_request& route = request.route;
+    route = {};
+    route.request_class = class_index{static_cast<std::uint8_t>(request.request_class)};
+    for (std::size_t i = 0; i < s.versions.size(); ++i) {
+        const bool restricted = request.session->account >= s.first_restricted_account && s.versions[i].share < 0.5;
+        route.allowed.set(i, !restricted);
+    }
+    route.session_hash = request.session->hash;
+    for (const version_index pin : request.session->pins)
+        route.pins.push(pin);
+    if (request.shared_prefix > 0)
+        route.prefixes.push({request.session->hash, static_cast<std::uint32_t>(request.shared_prefix)});
+    route.prompt_tokens = static_cast<std::uint32_t>(request.prompt_tokens + request.resumed_tokens);
+    route.expected_output_tokens = static_cast<std::uint32_t>(expected_output(request.request_class));
+    route.deadline = request.deadline;
+    route.streamed = spec.streamed;
+}
+
+/// Decides once which models serve the request.
+void entry_vm::plan(live_request& request)
+{
+    const scenario& s = world_.setting();
+    const class_spec& spec = s.classes[request.request_class];
+    request.planned = true;
+    request.planned_unrated = !world_.rating_available();
+    version_set cheap;
+    version_set strong = planner_.strong_versions();
+    for (std::size_t i = 0; i < view_.versions.size(); ++i)
+        cheap.set(i, !strong[i]);
+    if (world_.chosen().models != model_choice_rule::planned) {
+        request.plan.first = world_.chosen().models == model_choice_rule::strong ? strong : cheap;
+        return;
+    }
+    double both_ms = s.rating_delay_ms;
+    for (const bool of_strong : {false, true}) {
+        double slowest_ms = 0;
+        for (std::size_t i = 0; i < view_.versions.size(); ++i) {
+            if (strong[i] == of_strong)
+                slowest_ms = std::max(slowest_ms, service_ms(request, version_index{static_cast<std::uint8_t>(i)}));
+        }
+        both_ms += slowest_ms;
+    }
+    plan_request asked;
+    asked.request_class = request.route.request_class;
+    asked.session_hash = request.session->hash;
+    asked.left = request.deadline - world_.now();
+    asked.both_steps = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{both_ms});
+    asked.may_be_held = !spec.streamed;
+    request.plan = planner_.plan(asked, rating_seen_, world_.random());
+}
+
+void entry_vm::receive(const request_pointer& request)
+{
+    retries_.on_fresh_request();
+    route(request);
+}
+
+void entry_vm::receive_forwarded(const request_pointer& request)
+{
+    request->route.forwarded = true;
+    route(request);
+}
+
+void entry_vm::route(const request_pointer& request)
+{
+    if (world_.chosen().spread != spreading::decided) {
+        route_baseline(request);
+        return;
+    }
+    const bool forwarded = request->route.forwarded;
+    const auto excluded = request->route.excluded;
+    fill_route(*request);
+    request->route.forwarded = forwarded;
+    if (!forwarded)
+        request->route.excluded = excluded;
+    const int crashed = crash_counts_.count(request->fingerprint) > 0 ? crash_counts_[request->fingerprint] : 0;
+    request->route.quarantined = crashed >= 2;
+    if (!world_.setting().classes[request->request_class].idempotent && !world_.log_available()) {
+        world_.refused(request, request->started ? run_state::outcome_unknown : run_state::not_run);
+        return;
+    }
+    if (!request->planned)
+        plan(*request);
+    request->route.preferred = request->second_step ? request->plan.then : request->plan.first;
+    if (world_.chosen().models == model_choice_rule::planned)
+        request->route.fallback = planner_.strong_versions();
+    outcome<decision> last;
+    if (!try_place(request, last))
+        wait_or_shed(request, last.error());
+}
+
+bool entry_vm::try_place(const request_pointer& request, outcome<decision>& last)
+{
+    const auto excluded = request->route.excluded;
+    for (int denials = 0; denials <= most_permit_denials; ++denials) {
+        last = decide(view_, request->route, world_.now(), world_.random());
+        if (!last)
+            break;
+        if (take_decision(request, *last)) {
+            return true;
+        }
+        ++world_.counts().permits_denied;
+        request->route.excluded.push(last->server);
+    }
+    request->route.excluded = excluded;
+    if (last)
+        last = tl::unexpected<error>{error{error_code::overloaded, "all full", run_state::not_run, std::nullopt}};
+    return false;
+}
+
+bool entry_vm::take_decision(const request_pointer& request, const decision& chosen)
+{
+    const bool alone = request->route.must_run_alone;
+    if (chosen.forward) {
+        if (world_.forward(zone_, chosen.zone.value(), request))
+            return true;
+        view_.zones[chosen.zone.value()].reachable = false;
+        return false;
+    }
+    if (!world_.desk(global(chosen.server.value())).acquire(alone, reserved_slots(request->request_class)))
+        return false;
+    dispatch(request, chosen.server.value(), std::chrono::duration<double, std::milli>(chosen.predicted_total).count());
+    return true;
+}
+
+int entry_vm::reserved_slots(std::size_t request_class) const
+{
+    if (class_priority_[request_class] == 0)
+        return 0;
+    return static_cast<int>(reserved_share * world_.setting().servers.front().slots + 0.5);
+}
+
+void entry_vm::wait_or_shed(const request_pointer& request, const error& reason)
+{
+    const version_set wanted = request->route.preferred.any() ? request->route.preferred : request->route.allowed;
+    double shortest_ms = 1e12;
+    for (std::size_t i = 0; i < view_.versions.size(); ++i) {
+        if (wanted[i])
+            shortest_ms = std::min(shortest_ms, service_ms(*request, version_index{static_cast<std::uint8_t>(i)}));
+    }
+    const auto service = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{shortest_ms});
+    const bool may_wait = reason.code == error_code::overloaded || reason.code == error_code::unavailable;
+    const admission_verdict verdict =
+        admission_.judge(request->route.request_class, service, request->deadline, world_.now());
+    if (!may_wait || !verdict.admitted) {
+        if (request->held)
+            deliver(request, *request->held, false);
+        else
+            world_.refused(request, request->started ? run_state::ran : run_state::not_run);
+        return;
+    }
+    admission_.on_queued(request->route.request_class);
+    queue_.emplace(std::pair{class_priority_[request->request_class], ++last_queued_}, request);
+    poll_queue();
+}
+
+/// Looks again for room after a while, as work of other VMs ends too.
+void entry_vm::poll_queue()
+{
+    if (polling_ || queue_.empty())
+        return;
+    polling_ = true;
+    world_.loop().schedule(queue_poll, [this] {
+        polling_ = false;
+        drain_queue();
+    });
+}
+
+/// Serves the classes by their deadlines; a class whose first finds no room does not hold up the others.
+void entry_vm::drain_queue()
+{
+    std::size_t blocked = SIZE_MAX;
+    for (auto item = queue_.begin(); item != queue_.end();) {
+        const request_pointer request = item->second;
+        if (item->first.first == blocked) {
+            ++item;
+            continue;
+        }
+        outcome<decision> last;
+        const bool placed = try_place(request, last);
+        const bool hopeless =
+            !placed && last.error().code != error_code::overloaded && last.error().code != error_code::unavailable;
+        if (!placed && !hopeless && world_.now() < request->deadline) {
+            blocked = item->first.first;
+            ++item;
+            continue;
+        }
+        admission_.on_dequeued(request->route.request_class, placed, world_.now());
+        item = queue_.erase(item);
+        if (placed)
+            continue;
+        if (request->held)
+            deliver(request, *request->held, false);
+        else
+            world_.refused(request, request->started ? run_state::ran : run_state::not_run);
+    }
+    poll_queue();
+}
+
+} // namespace agatespar::bench
--- /dev/null
+++ b/benchmarks/policy/main.cpp
@@ -0,0 +1,80 @@
+// The policy bench: runs a scenario under one policy or all, on a manual clock.
+#include "gates.h"
+#include "world.h"
+
+#include <docopt/docopt.h>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <cstdio>
+#include <iostream>
+
+using namespace agatespar;
+using namespace agatespar::bench;
+
+static const char usage[] =
+    R"(Runs the routing decisions against queueing stand-ins, on a manual clock.
+
+Usage:
+  agatespar-policy-bench policy --scenario FILE [--policy NAME] [--seed N] [--json]
+  agatespar-policy-bench gates --scenarios DIR [--only NAME]
+  agatespar-policy-bench (-h | --help)
+
+Options:
+  --scenario FILE  The scenario to run.
+  --policy NAME    agatespar, always-strong, always-cheap, round-robin, round-robin-cheap, least-loaded or
+                   fixed-canary [default: agatespar].
+  --seed N         Seeds arrivals, sizes, ratings and choices [default: 1].
+  --scenarios DIR  The folder with the repository's scenarios.
+  --only NAME      Runs one gate only.
+  --json           Prints one JSON object.
+)";
+
+static int print_error(const std::string& text)
+{
+    std::cerr << text << '\n';
+    return 2;
+}
+
+static void print(const std::map<std::string, double>& values, const std::string& policy_name, bool as_json)
+{
+    if (!as_json) {
+        for (const auto& [name, value] : values)
+            std::printf("%-48s %.6g\n", name.c_str(), value);
+        return;
+    }
+    nlohmann::json out;
+    out["policy"] = policy_name;
+    for (const auto& [name, value] : values) {
+        // JSON has no infinity; a quantile that falls among unanswered requests has no value.
+        if (std::isfinite(value))
+            out[name] = value;
+        else
+            out[name] = nullptr;
+    }
+    std::cout << out.dump(1) << '\n';
+}
+
+static int run_policy(std::map<std::string, docopt::value>& arguments)
+{
+    const outcome<scenario> s = read_scenario(arguments["--scenario"].asString());
+    if (!s)
+        return print_error(s.error().message);
+    const std::string name = arguments["--policy"].asString();
+    const std::optional<policy> chosen = policy_named(name);
+    if (!chosen)
+        return print_error("unknown policy '" + name + "'");
+    world around{*s, *chosen, static_cast<std::uint64_t>(arguments["--seed"].asLong())};
+    print(report(around.run(), *s), name, arguments["--json"].asBool());
+    return 0;
+}
+
+int main(int count, char** values)
+{
+    auto arguments = docopt::docopt(usage, {values + 1, values + count});
+    if (arguments["gates"].asBool()) {
+        const docopt::value& only = arguments["--only"];
+        return run_gates(arguments["--scenarios"].asString(), only ? only.asString() : "");
+    }
+    return run_policy(arguments);
+}
--- /dev/null
+++ b/benchmarks/policy/permit_desk.cpp
@@ -0,0 +1,48 @@
+// A stand-in for the owner of one backend server.
+#include "permit_desk.h"
+
+#include <algorithm>
+
+namespace agatespar::bench {
+
+// Work slower than this is a sign of a cold server, faster than the other one a sign of a warm server.
+static constexpr double cold_slowdown = 2;
+static constexpr double warm_slowdown = 1.5;
+
+void permit_desk::turn_cold()
+{
+    warm_ = false;
+    limit_ = std::min(cold_slots_, slots_);
+}
+
+void permit_desk::on_first_token(double slowdown)
+{
+    if (slowdown >= cold_slowdown)
+        turn_cold();
+}
+
+void permit_desk::release(job_end end, double slowdown)
+{
+    --in_use_;
+    if (end != job_end::whole) {
+        down_ = true;
+        turn_cold();
+        return;
+    }
+    if (slowdown >= cold_slowdown)
+        turn_cold();
+    else if (slowdown < warm_slowdown && limit_ < slots_)
+        warm_ = ++limit_ == slots_;
+}
+
+void permit_desk::on_report(const engine_report& report)
+{
+    down_ = !report.up;
+    closed_ = report.leaving;
+    if (report.start == start_)
+        return;
+    start_ = report.start;
+    turn_cold();
+}
+
+} // namespace agatespar::bench
--- /dev/null
+++ b/benchmarks/policy/policy.cpp
@@ -0,0 +1,29 @@
+// The policies that the bench compares.
+#include "policy.h"
+
+namespace agatespar::bench {
+
+const std::vector<policy>& all_policies()
+{
+    static const std::vector<policy> policies{
+        {.name = "agatespar"},
+        {.name = "always-strong", .models = model_choice_rule::strong},
+        {.name = "always-cheap", .models = model_choice_rule::cheap},
+        {.name = "round-robin", .spread = spreading::round_robin, .guard = false},
+        {.name = "round-robin-cheap", .spread = spreading::round_robin, .guard = false, .cheap_servers_only = true},
+        {.name = "least-loaded", .spread = spreading::least_loaded, .guard = false},
+        {.name = "fixed-canary", .guard = false},
+    };
+    return policies;
+}
+
+std::optional<policy> policy_named(const std::string& name)
+{
+    for (const policy& each : all_policies()) {
+        if (each.name == name)
+            return each;
+    }
+    return std::nullopt;
+}
+
+} // namespace agatespar::bench
--- /dev/null
+++ b/benchmarks/policy/policy.h
@@ -0,0 +1,35 @@
+// The policies that the bench compares.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatespar::bench {
+
+/// How requests are spread over servers.
+enum class spreading {
+    /// The routing decision, with permits, admission and the retry budget.
+    decided,
+    round_robin,
+    least_loaded,
+};
+
+/// Which models serve.
+enum class model_choice_rule { planned, strong, cheap };
+
+/// A policy, as the switches in which it differs.
+struct policy {
+    std::string name;
+    spreading spread{spreading::decided};
+    model_choice_rule models{model_choice_rule::planned};
+    bool guard{true};
+    /// Round robin only: over the servers of the cheap model alone.
+    bool cheap_servers_only{false};
+};
+
+/// @return the policy of that name, if there is one.
+std::optional<policy> policy_named(const std::string& name);
+const std::vector<policy>& all_policies();
+
+} // namespace agatespar::bench
--- /dev/null
+++ b/benchmarks/policy/world.h
@@ -0,0 +1,140 @@
+// The stand-in for everything around the entry VMs: callers, sessions, engines, owners, lag and faults.
+#pragma once
+
+#include "engine.h"
+#include "measures.h"
+#include "permit_desk.h"
+#include "policy.h"
+
+#include <agatespar/cascade/planner.h>
+#include <agatespar/kernel/manual_event_loop.h>
+#include <agatespar/routing/request.h>
+
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace agatespar::bench {
+
+class entry_vm;
+
+/// A caller's conversation; what it carries stands for its session token.
+struct session_state {
+    std::uint64_t hash{0};
+    std::size_t request_class{0};
+    int account{0};
+    std::vector<version_index> pins;
+    double prefix_tokens{0};
+};
+
+/// One request on its way through the system.
+struct live_request {
+    std::shared_ptr<session_state> session;
+    std::size_t request_class{0};
+    double prompt_tokens{0};
+    double output_tokens{0};
+    double shared_prefix{0};
+    steady_time arrived;
+    steady_time deadline;
+    std::uint64_t fingerprint{0};
+    bool killer{false};
+    int resends{0};
+    /// False for what happens in the warm-up.
+    bool measured{false};
+    bool planned_unrated{false};
+    route_request route;
+    serving_plan plan;
+    bool planned{false};
+    bool second_step{false};
+    int attempts{0};
+    int permit_denials{0};
+    /// An engine took it up.
+    bool started{false};
+    /// Tokens that a broken attempt had streamed.
+    double resumed_tokens{0};
+    steady_time first_token;
+    double cost{0};
+    /// Version of a held answer that was rated bad; serves if nothing better comes.
+    std::optional<version_index> held;
+};
+
+using request_pointer = std::shared_ptr<live_request>;
+
+/// Runs a scenario under one policy and one seed.
+class world {
+public:
+    world(scenario s, const policy& chosen, std::uint64_t seed);
+    ~world();
+    world(const world&) = delete;
+    world& operator=(const world&) = delete;
+
+    measures run();
+
+    // What an entry VM can reach.
+    event_loop& loop() { return loop_; }
+    steady_time now() const { return loop_.time().now(); }
+    std::mt19937_64& random() { return random_; }
+    const scenario& setting() const { return scenario_; }
+    const policy& chosen() const { return policy_; }
+    measures& counts() { return measures_; }
+    permit_desk& desk(std::size_t server) { return desks_[server]; }
+    void submit(std::size_t server, const request_pointer& request, std::shared_ptr<engine_job> job);
+    /// Sends a request to a VM of another zone. @return false if the zone is cut off.
+    bool forward(std::size_t from, std::size_t zone, const request_pointer& request);
+    bool rating_available() const { return rating_up_; }
+    bool log_available() const { return log_up_; }
+    double good_probability(version_index version, std::size_t request_class) const;
+    /// @return whether the rating service rates an answer good.
+    bool rate(bool truly_good);
+    bool is_bad(version_index version) const { return good_factor_[version.value()] < 1; }
+    /// The same for the dearest model, over its versions by their shares.
+    double strong_probability(std::size_t request_class) const;
+    /// Answers the caller. @param version gave the answer.
+    void answered(const request_pointer& request, version_index version, bool truly_good);
+    void refused(const request_pointer& request, run_state ran);
+    const engine& engine_at(std::size_t server) const { return *engines_[server]; }
+
+private:
+    void schedule_arrival();
+    void arrive();
+    request_pointer next_request();
+    std::shared_ptr<session_state> pick_session();
+    double burst_factor() const;
+    void send_through_any_vm(const request_pointer& request);
+    void apply(const scenario_event& event);
+    void start_killer(int resends);
+    void spread_zone(std::size_t zone);
+    void report_loads();
+    void summarise_zones();
+    void gossip();
+    void connect_cache_events(std::size_t server);
+    double draw_tokens(double mean);
+    std::uint64_t open_requests() const;
+    std::size_t open_to_new_sessions(version_index version) const;
+    double delivered_good_probability(const live_request& request, version_index version) const;
+
+    scenario scenario_;
+    policy policy_;
+    std::mt19937_64 random_;
+    manual_event_loop loop_;
+    measures measures_;
+    std::vector<std::unique_ptr<engine>> engines_;
+    std::vector<permit_desk> desks_;
+    std::vector<std::unique_ptr<entry_vm>> vms_;
+    std::vector<std::vector<std::size_t>> vms_of_zone_;
+    std::vector<double> good_factor_;
+    std::vector<steady_time> zone_out_since_;
+    std::vector<steady_time> leaving_since_;
+    std::vector<steady_time> withdrawn_since_;
+    std::vector<bool> zone_cut_;
+    /// By class, in the order in which their callers are done thinking.
+    std::vector<std::multimap<steady_time, std::shared_ptr<session_state>>> idle_sessions_;
+    bool arriving_{true};
+    double rate_factor_{1};
+    bool rating_up_{true};
+    bool log_up_{true};
+    std::uint64_t last_session_{0};
+};
+
+} // namespace agatespar::bench
--- /dev/null
+++ b/benchmarks/policy/world_events.cpp
@@ -0,0 +1,182 @@
+// The faults and changes of a scenario, and what the callers see in the end.
+#include "entry_vm.h"
+#include "world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agatespar::bench {
+
+// A change of the configuration is in force on every VM after this long.
+static constexpr std::chrono::milliseconds config_spread{1500};
+// A zone that is cut off is noticed after this long.
+static constexpr std::chrono::milliseconds cut_detection{2000};
+static constexpr std::chrono::seconds resend_delay{1};
+
+void world::spread_zone(std::size_t zone)
+{
+    const bool out = zone_out_since_[zone] != steady_time::max();
+    loop_.schedule(config_spread, [this, zone, out] {
+        for (const auto& vm : vms_)
+            vm->set_zone_in_service(zone, !out);
+    });
+}
+
+void world::start_killer(int resends)
+{
+    const request_pointer request = next_request();
+    request->killer = true;
+    request->resends = resends;
+    request->measured = false;
+    send_through_any_vm(request);
+}
+
+void world::apply(const scenario_event& event)
+{
+    const auto on_all_vms_later = [this](duration delay, std::function<void(entry_vm&)> change) {
+        loop_.schedule(delay, [this, change = std::move(change)] {
+            for (const auto& vm : vms_)
+                change(*vm);
+        });
+    };
+    const version_index version{static_cast<std::uint8_t>(event.version)};
+    switch (event.what) {
+    case event_kind::server_turns_cold:
+        engines_[event.server]->turn_cold();
+        break;
+    case event_kind::server_dies:
+        engines_[event.server]->die(scenario_.duration_s);
+        break;
+    case event_kind::server_leaves:
+        engines_[event.server]->start_leaving();
+        leaving_since_[event.server] = now();
+        break;
+    case event_kind::zone_out:
+    case event_kind::zone_back:
+        zone_out_since_[event.zone] = event.what == event_kind::zone_out ? now() : steady_time::max();
+        spread_zone(event.zone);
+        break;
+    case event_kind::zone_cut:
+    case event_kind::zone_healed: {
+        const bool cut = event.what == event_kind::zone_cut;
+        zone_cut_[event.zone] = cut;
+        on_all_vms_later(cut_detection, [zone = event.zone, cut](entry_vm& vm) { vm.set_zone_cut(zone, cut); });
+        break;
+    }
+    case event_kind::version_turns_bad:
+        good_factor_[event.version] = event.value;
+        break;
+    case event_kind::share:
+        on_all_vms_later(config_spread, [version, share = event.value](entry_vm& vm) { vm.set_share(version, share); });
+        break;
+    case event_kind::withdraw:
+        withdrawn_since_[event.version] = now();
+        on_all_vms_later(config_spread, [version](entry_vm& vm) { vm.withdraw(version); });
+        break;
+    case event_kind::backend_outage:
+        for (std::size_t i = 0; i < engines_.size(); ++i) {
+            const double before = std::floor(static_cast<double>(i) * event.value);
+            if (std::floor(static_cast<double>(i + 1) * event.value) > before)
+                engines_[i]->die(event.for_s);
+        }
+        break;
+    case event_kind::rating_down:
+    case event_kind::rating_up:
+        rating_up_ = event.what == event_kind::rating_up;
+        break;
+    case event_kind::log_down:
+    case event_kind::log_up:
+        log_up_ = event.what == event_kind::log_up;
+        break;
+    case event_kind::killer_request:
+        start_killer(event.resends);
+        break;
+    case event_kind::rate_factor:
+        rate_factor_ = event.value;
+        break;
+    }
+}
+
+/// @return how many VMs still let new sessions in to a version.
+std::size_t world::open_to_new_sessions(version_index version) const
+{
+    std::size_t open = 0;
+    for (const auto& vm : vms_)
+        open += vm->stopped_by_guard(version) ? 0 : 1;
+    return open;
+}
+
+/// An answer that was held and rated good is likelier good than one that was not rated.
+double world::delivered_good_probability(const live_request& request, version_index version) const
+{
+    const double good = good_probability(version, request.request_class);
+    if (!request.plan.cascade() || request.second_step)
+        return good;
+    const double accepted_good = good * (1 - scenario_.rating_false_bad);
+    const double accepted_bad = (1 - good) * scenario_.rating_false_good;
+    return accepted_good / std::max(accepted_good + accepted_bad, 1e-9);
+}
+
+void world::answered(const request_pointer& request, version_index version, bool truly_good)
+{
+    session_state& session = *request->session;
+    session.prefix_tokens = request->prompt_tokens + request->output_tokens;
+    if (!std::bernoulli_distribution{1 / std::max(1.0, scenario_.mean_turns)}(random_)) {
+        const double think_s = std::exponential_distribution<double>{1 / std::max(0.01, scenario_.think_s)}(random_);
+        idle_sessions_[session.request_class].emplace(
+            now() + std::chrono::duration_cast<duration>(std::chrono::duration<double>{think_s}), request->session);
+    }
+    measures_.cost += request->measured ? request->cost : 0;
+    if (!request->measured)
+        return;
+    ++measures_.answered;
+    class_measures& each = measures_.classes[request->request_class];
+    ++each.answered;
+    each.tokens += request->prompt_tokens + request->output_tokens;
+    each.latency_s.push_back(std::chrono::duration<double>(now() - request->arrived).count());
+    each.first_token_s.push_back(std::chrono::duration<double>(request->first_token - request->arrived).count());
+    each.in_deadline += now() <= request->deadline ? 1 : 0;
+    measures_.bad_version_answers += is_bad(version) ? 1 : 0;
+    const bool stopped = is_bad(version) && open_to_new_sessions(version) == 0;
+    measures_.bad_version_answers_until_stopped += is_bad(version) && !stopped ? 1 : 0;
+    measures_.good += truly_good ? 1 : 0;
+    const double expected = delivered_good_probability(*request, version);
+    const double strong = strong_probability(request->request_class);
+    measures_.expected_good += expected;
+    measures_.expected_good_strong += strong;
+    if (request->planned_unrated) {
+        measures_.expected_bad_unrated += 1 - expected;
+        measures_.expected_bad_unrated_strong += 1 - strong;
+    }
+}
+
+void world::refused(const request_pointer& request, run_state ran)
+{
+    if (request->killer && request->resends > 0) {
+        --request->resends;
+        const request_pointer again = std::make_shared<live_request>();
+        again->session = request->session;
+        again->request_class = request->request_class;
+        again->prompt_tokens = request->prompt_tokens;
+        again->output_tokens = request->output_tokens;
+        again->fingerprint = request->fingerprint;
+        again->killer = true;
+        again->resends = request->resends;
+        again->arrived = now() + resend_delay;
+        again->deadline = again->arrived + (request->deadline - request->arrived);
+        loop_.schedule(resend_delay, [this, again] { send_through_any_vm(again); });
+    }
+    if (!request->measured)
+        return;
+    measures_.cost += request->cost;
+    if (ran == run_state::not_run) {
+        ++measures_.not_run;
+        measures_.not_run_untrue += request->started ? 1 : 0;
+    }
+    else if (ran == run_state::ran)
+        ++measures_.failed;
+    else
+        ++measures_.outcome_unknown;
+}
+
+} // namespace agatespar::bench
--- a/include/agatespar/cascade/planner.h
+++ b/include/agatespar/cascade/planner.h
@@ -19,10 +19,16 @@
     double quality_target{0.95};
     /// Aimed above the target by this, as the learned rates are uncertain.
     double quality_margin{0.002};
-    /// Share of requests that try a model of which too little is known in their class.
-    double exploration{0.02};
+    /// Share of requests that try a model of which nothing is known yet in their class.
+    double first_exploration{0.2};
+    /// Share of requests that try a model of which little is known in their class.
+    double exploration{0.01};
+    /// Answers of a model in a class before it is planned with.
+    double fewest_samples{30};
     /// Answers of a model in a class after which it needs no more exploration.
     double enough_samples{150};
+    /// The same for the strong model, as the target relates to it.
+    double enough_reference_samples{2000};
 };
 
 /// What the planner knows of a class besides the learned quality.
@@ -82,6 +88,8 @@
         double samples{0};
     };
 
+    std::optional<model_index> draw_unexplored(class_index request_class, std::mt19937_64& random) const;
+    void note_unexplored(class_index request_class, model_index model, double samples);
     void group_models(const routing_view& view, const version_set& versions);
     model_quality quality_of(const routing_view& view, const quality_estimates& quality, std::size_t model,
                              class_index request_class) const;
@@ -94,8 +102,12 @@
     std::array<version_set, max_models> model_versions_{};
     std::array<double, max_models> model_cost_{};
     model_index strong_;
-    /// For each class the models that need exploration.
-    std::vector<std::vector<model_index>> unexplored_;
+    /// A model that is to be tried in a class.
+    struct unexplored_model {
+        model_index model;
+        double share{0};
+    };
+    std::vector<std::vector<unexplored_model>> unexplored_;
 };
 
 } // namespace agatespar
--- a/lib/routing/prediction.h
+++ b/include/agatespar/routing/prediction.h
@@ -11,11 +11,19 @@
 scored_candidate predict(const routing_view& view, server_index server, const route_request& request,
                          std::uint32_t cached_tokens);
 
-/// Weighs cost, latency and exposure to risk, each relative to the worst of the request's versions.
-/// @param worst_cost, worst_total_ms of an unloaded server, over the versions that are weighed.
+/// What the parts of a score are relative to.
+struct score_scales {
+    /// Of an unloaded server, over the versions that are weighed.
+    double worst_cost{0};
+    double worst_total_ms{0};
+    /// To the request's deadline.
+    double left_ms{0};
+};
+
+/// Weighs cost, latency and exposure to risk. Missing the deadline, or a streamed answer's targets, counts most.
 /// @return the score; less is better.
 double score(const routing_view& view, const route_request& request, const scored_candidate& candidate,
-             double worst_cost, double worst_total_ms);
+             const score_scales& scales);
 
 /// @return the predicted total time on an unloaded warm server.
 double unloaded_total_ms(const version_view& version, const route_request& request);
--- a/lib/cascade/planner.cpp
+++ b/lib/cascade/planner.cpp
@@ -7,11 +7,10 @@
 
 namespace agatespar {
 
-// Until a model other than the strong one has this many answers in a class, it is taken for bad.
-static constexpr double fewest_samples = 20;
-// The strong model is taken for this good in a class where it has not answered yet.
-static constexpr double strong_prior = 0.97;
-static constexpr double strong_prior_weight = 20;
+// The strong model is taken for this good in a class until that many answers say otherwise: too high a reference
+// costs money, too low a one costs quality.
+static constexpr double strong_prior = 0.98;
+static constexpr double strong_prior_weight = 1000;
 
 cascade_planner::cascade_planner(const cascade_settings& settings, std::size_t classes)
     : settings_(settings), mixes_(classes), unexplored_(classes)
@@ -51,7 +50,7 @@
             continue;
         // Shares weigh, but a version with few answers so far does not sway the model's estimate.
         const double share = view.versions[i].stopped_by_guard ? 0 : view.versions[i].share;
-        const double weight = share * std::min(1.0, samples / fewest_samples);
+        const double weight = share * std::min(1.0, samples / settings_.fewest_samples);
         sum.samples += samples;
         sum.truly_good += weight * quality.truly_good(version, request_class);
         sum.rated_good += weight * quality.rated_good(version, request_class);
@@ -68,6 +67,16 @@
     return sum;
 }
 
+void cascade_planner::note_unexplored(class_index request_class, model_index model, double samples)
+{
+    const bool is_strong = model == strong_;
+    if (samples >= (is_strong ? settings_.enough_reference_samples : settings_.enough_samples))
+        return;
+    const bool first = samples < settings_.fewest_samples && !is_strong;
+    const double share = first ? settings_.first_exploration : settings_.exploration;
+    unexplored_[request_class.value()].push_back({model, share});
+}
+
 class_options cascade_planner::options_for(const routing_view& view, const quality_estimates& quality,
                                            class_index request_class, const class_traits& traits)
 {
@@ -81,9 +90,8 @@
         if (model == strong_.value())
             continue;
         const model_quality each = quality_of(view, quality, model, request_class);
-        if (each.samples < settings_.enough_samples)
-            unexplored_[request_class.value()].push_back(model_index{model});
-        if (each.samples < fewest_samples)
+        note_unexplored(request_class, model_index{model}, each.samples);
+        if (each.samples < settings_.fewest_samples)
             continue;
         const double cost = model_cost_[model] * traits.mean_tokens / 1000;
         result.options.push({model_index{model}, std::nullopt, each.truly_good, cost});
@@ -93,8 +101,7 @@
                              cascade_good(each.truly_good, strong.truly_good, quality.errors()),
                              cost + (1 - each.rated_good) * strong_cost});
     }
-    if (strong.samples < settings_.enough_samples)
-        unexplored_[request_class.value()].push_back(strong_);
+    note_unexplored(request_class, strong_, strong.samples);
     return result;
 }
 
@@ -119,6 +126,15 @@
     return std::ldexp(static_cast<double>(combine_hashes(session_hash, purpose + request_class.value()) >> 11U), -53);
 }
 
+std::optional<model_index> cascade_planner::draw_unexplored(class_index request_class, std::mt19937_64& random) const
+{
+    for (const unexplored_model& each : unexplored_[request_class.value()]) {
+        if (std::bernoulli_distribution{each.share}(random))
+            return each.model;
+    }
+    return std::nullopt;
+}
+
 serving_plan cascade_planner::plan(const plan_request& request, bool rating_available, std::mt19937_64& random) const
 {
     serving_plan result;
@@ -129,13 +145,11 @@
     const class_mix& mix = mixes_[at];
     const bool better = point_of(request.session_hash, request.request_class) < mix.better_share;
     const serving_option& option = better ? mix.better : mix.cheaper;
-    const auto& unexplored = unexplored_[at];
     const bool both_fit = request.may_be_held && request.both_steps < request.left;
-    if (!unexplored.empty() && std::bernoulli_distribution{settings_.exploration}(random)) {
-        const model_index model = unexplored[random() % unexplored.size()];
+    if (const auto model = draw_unexplored(request.request_class, random)) {
         result.exploring = true;
-        result.first = model_versions_[model.value()];
-        if (model != strong_ && both_fit)
+        result.first = model_versions_[model->value()];
+        if (*model != strong_ && both_fit)
             result.then = strong_versions();
         return result;
     }
--- a/lib/cascade/quality.cpp
+++ b/lib/cascade/quality.cpp
@@ -37,7 +37,7 @@
 double quality_estimates::rated_good(version_index version, class_index request_class) const
 {
     const estimate& each = estimates_[place(version, request_class)];
-    return (each.good + 1) / (each.good + each.bad + 2);
+    return (each.good + 0.5) / (each.good + each.bad + 1);
 }
 
 double quality_estimates::truly_good(version_index version, class_index request_class) const
--- a/lib/routing/candidates.cpp
+++ b/lib/routing/candidates.cpp
@@ -1,8 +1,7 @@
 // The candidates of one decision: filtered, scored, and the best of them.
 #include "candidates.h"
 
-#include "prediction.h"
-
+#include <agatespar/routing/prediction.h>
 #include <agatespar/support/hash.h>
 
 #include <algorithm>
@@ -72,12 +71,13 @@
         return false;
     }
     scored_candidate candidate = predict(search.view, server, search.request, cached_tokens);
-    const std::chrono::duration<double, std::milli> total{candidate.total_ms};
-    if (search.request.deadline != steady_time::max() && search.now + total > search.request.deadline) {
+    const std::chrono::duration<double, std::milli> left = search.request.deadline - search.now;
+    if (candidate.first_token_ms > left.count()) {
         ++search.explained.count_of(filter_reason::predicted_too_late);
         return false;
     }
-    candidate.score = score(search.view, search.request, candidate, state.worst_cost, state.worst_total_ms);
+    candidate.score =
+        score(search.view, search.request, candidate, {state.worst_cost, state.worst_total_ms, left.count()});
     keep_if_among_best(search.explained, candidate);
     ++state.result.scored;
     if (!state.result.best || candidate.score < state.result.best->score)
--- a/lib/routing/decision.cpp
+++ b/lib/routing/decision.cpp
@@ -1,9 +1,9 @@
 // The routing decision: own zone first, then other zones, then versions that may stand in, then full servers.
 #include "candidates.h"
-#include "prediction.h"
 #include "zone_choice.h"
 
 #include <agatespar/routing/decision.h>
+#include <agatespar/routing/prediction.h>
 #include <agatespar/routing/rollout.h>
 
 namespace agatespar {
--- a/lib/routing/prediction.cpp
+++ b/lib/routing/prediction.cpp
@@ -1,5 +1,5 @@
 // What a request would cost on a server, and when it would answer.
-#include "prediction.h"
+#include <agatespar/routing/prediction.h>
 
 #include <algorithm>
 
@@ -60,13 +60,14 @@
 }
 
 double score(const routing_view& view, const route_request& request, const scored_candidate& candidate,
-             double worst_cost, double worst_total_ms)
+             const score_scales& scales)
 {
     const score_weights& weights = view.weights[request.fleet.value()];
     const server_view& at = view.servers[candidate.server.value()];
     const version_view& version = view.versions[candidate.version.value()];
-    const double cost = worst_cost > 0 ? candidate.cost / worst_cost : 0;
-    double latency = worst_total_ms > 0 ? candidate.total_ms / worst_total_ms : 0;
+    const double cost = scales.worst_cost > 0 ? candidate.cost / scales.worst_cost : 0;
+    double latency = scales.worst_total_ms > 0 ? candidate.total_ms / scales.worst_total_ms : 0;
+    latency += missed_target_penalty * relative_excess(candidate.total_ms, scales.left_ms);
     if (request.streamed) {
         latency += missed_target_penalty * (relative_excess(candidate.first_token_ms, target_first_token_ms) +
                                             relative_excess(candidate.gap_ms, target_gap_ms));
--- a/unittests/cascade/planner_test.cpp
+++ b/unittests/cascade/planner_test.cpp
@@ -76,6 +76,7 @@
     quality_estimates quality{2, 1, {.false_good = 0.03, .false_bad = 0.03}};
     cascade_settings settings;
     settings.exploration = 0;
+    settings.first_exploration = 0;
     cascade_planner planner{settings, 1};
     plan_request request{
         .request_class = draft, .session_hash = 1, .left = 600s, .both_steps = 90s, .may_be_held = true};
