Check the daemon's settings before anything starts, and add message kinds

Cause: a misspelled or contradictory setting must stop the start with one line that names it; forwarded calls and server versions need kinds of their own. Conclusion: one table gives the help text, the variables and the checks.

--- a/include/agatespar/membership/messages.h
+++ b/include/agatespar/membership/messages.h
@@ -41,6 +41,8 @@
     version_counts = 4,
     server_table = 5,
     drain_notice = 6,
+    server_versions = 7,
+    config_contact = 8,
 };
 
 /// A small register that every VM of the zone holds; of one kind and name the largest version stays.
--- /dev/null
+++ b/include/agatespar/node/settings.h
@@ -0,0 +1,67 @@
+// The settings of agatespard: flags and environment variables, checked before anything starts.
+#pragma once
+
+#include <agatespar/config/key_hash.h>
+#include <agatespar/support/ids.h>
+#include <agatespar/support/outcome.h>
+#include <agatespar/wire/frame.h>
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace agatespar {
+
+/// One setting as it stands in --help and in the operators' table.
+struct setting_description {
+    /// The flag without its dashes, e.g. "listen"; the environment variable follows from it.
+    std::string_view name;
+    std::string_view value_form;
+    /// Empty for a setting that must be given.
+    std::string_view default_value;
+    bool required;
+    std::string_view help;
+};
+
+/// @return all settings, in the order of the help text.
+const std::vector<setting_description>& all_settings();
+
+/// @return the environment variable of a setting, e.g. "AGATESPAR_LISTEN".
+std::string environment_name(std::string_view setting);
+
+/// What a daemon needs to know before it starts.
+struct node_settings {
+    std::string listen;
+    std::string peer_listen;
+    zone_id zone;
+    region_name region;
+    std::vector<std::string> peers;
+    std::string log_url;
+    std::string vm_list_url;
+    std::string rating_url;
+    std::string weight_store_url;
+    vm_key key;
+    std::string session_secret;
+    std::vector<key_hash> operator_key_hashes;
+    std::string tls_certificate_file;
+    std::string tls_key_file;
+    std::string trace_file;
+    std::string trace_url;
+    std::string port_file;
+    std::chrono::milliseconds notice_time{};
+    std::chrono::milliseconds drain_time{};
+};
+
+using environment = std::map<std::string, std::string>;
+
+/// @return the text of --help.
+std::string settings_help();
+
+/// Reads flags, which win over environment variables, which win over defaults.
+/// @param arguments the command line without the program's name. @param variables the process's environment.
+/// @return the settings; invalid_argument with one line that names the setting otherwise.
+outcome<node_settings> read_settings(const std::vector<std::string>& arguments, const environment& variables);
+
+} // namespace agatespar
--- a/include/agatespar/wire/message_kind.h
+++ b/include/agatespar/wire/message_kind.h
@@ -32,6 +32,8 @@
     forward_chunk = 41,
     forward_end = 42,
     forward_cancel = 43,
+    forward_call = 44,
+    forward_answer = 45,
     // routing
     version_counts = 50,
     quarantine_notice = 51,
--- a/include/agatespar/wire/transport.h
+++ b/include/agatespar/wire/transport.h
@@ -47,6 +47,8 @@
 
     /// @return the address that peers send to, "ip:port", with the port that was picked.
     const std::string& address() const;
+    /// @return the boot id of this process.
+    boot_id self() const;
     /// Sets the function that gets every accepted frame.
     void set_handler(frame_handler handler);
     /// Sends a message. @return whether it was taken for sending; delivery is not certain.
--- a/lib/membership/gossip_store.cpp
+++ b/lib/membership/gossip_store.cpp
@@ -17,7 +17,7 @@
 bool is_lasting(gossip_kind kind)
 {
     return kind != gossip_kind::server_table && kind != gossip_kind::version_counts &&
-           kind != gossip_kind::zone_summary;
+           kind != gossip_kind::zone_summary && kind != gossip_kind::config_contact;
 }
 
 static std::uint64_t item_digest(const gossip_item& item)
--- a/lib/wire/transport.cpp
+++ b/lib/wire/transport.cpp
@@ -188,6 +188,11 @@
     return impl_->address;
 }
 
+boot_id transport::self() const
+{
+    return impl_->settings.self;
+}
+
 void transport::set_handler(frame_handler handler)
 {
     impl_->handler = std::move(handler);
