Run chat requests and plain-service calls from admission to one bill

Cause: the path between the HTTP interface and the pure decisions was missing. What stands: attempts with resumed streams, at-most-once calls under the ledger's claims, forwarding of both to other zones, explanations by request. Found on the way: a request's max_tokens is no estimate of its length (a lookup was refused as too late at 1,024 tokens); a moving average for each class took its place. A quick repeat of a running call was told 'conflict'; it now waits for the first outcome within its deadline. Conclusion: refusals say not run only from the ledger's or the adapter's proof.

--- /dev/null
+++ b/include/agatespar/frontend/caller_api.h
@@ -0,0 +1,39 @@
+// The callers' HTTP interface: chat completions and plain-service calls.
+#pragma once
+
+#include <agatespar/config/configuration.h>
+#include <agatespar/frontend/http_server.h>
+#include <agatespar/request/request.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace agatespar {
+
+/// Stops a request whose caller is gone.
+using stop_request = std::function<void()>;
+
+/// What the interface needs of the request path.
+struct caller_api_dependencies {
+    event_loop* loop{nullptr};
+    std::mt19937_64* random{nullptr};
+    std::function<std::shared_ptr<const configuration>()> config;
+    std::function<stop_request(chat_request, answer_sink)> run_chat;
+    std::function<void(service_request, service_callback)> run_service;
+    /// Answers what became of a key without running anything.
+    std::function<void(const service_request&, service_callback)> look_up_outcome;
+    /// Closes a key, so that no call of it can run any more.
+    std::function<void(const service_request&, service_callback)> cancel_key;
+    /// Whether new work is taken; false while the VM is not ready or stopping.
+    std::function<bool()> takes_work;
+};
+
+/// Handles POST /v1/chat/completions, POST /v1/services/{service}/{method}, and GET and DELETE of
+/// /v1/services/{service}/outcomes/{key}. @return false if the path is none of these.
+bool handle_caller_request(const caller_api_dependencies& dependencies, const std::shared_ptr<http_exchange>& exchange);
+
+/// Answers with the error's status and JSON shape.
+void respond_error(http_exchange& exchange, const error& problem, const request_id& id);
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/request/call_forwarding.h
@@ -0,0 +1,49 @@
+// Sends plain-service calls on to VMs of other zones, and runs those that come from there.
+#pragma once
+
+#include <agatespar/request/forwarding.h>
+#include <agatespar/request/messages.h>
+#include <agatespar/request/request.h>
+#include <agatespar/wire/frame.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace agatespar {
+
+/// What the forwarding of calls needs.
+struct call_forwarding_dependencies {
+    event_loop* loop{nullptr};
+    std::function<std::uint64_t()> next_id;
+    std::function<bool(const std::string& address, message_kind, std::string payload)> send;
+    std::function<std::optional<std::string>(const zone_id&)> pick_vm;
+    std::function<void(service_request, service_callback)> run;
+};
+
+/// Both sides of the forwarding of calls. The VM that runs a call claims its key, so a lost answer can be looked up.
+class call_forwarding {
+public:
+    explicit call_forwarding(call_forwarding_dependencies dependencies) : dependencies_(std::move(dependencies)) {}
+
+    /// Sends a call once. The callback gets the answer, or outcome_unknown if none comes in time.
+    void send(const zone_id& zone, const service_request& request, duration remaining, service_callback callback);
+    /// Takes a frame of kind forward_call or forward_answer.
+    void take(const frame& received);
+
+private:
+    struct pending_call {
+        service_callback callback;
+        timer_id timer;
+    };
+
+    void take_call(const frame& received);
+    void finish(std::uint64_t id, outcome<service_answer> answer);
+
+    call_forwarding_dependencies dependencies_;
+    std::unordered_map<std::uint64_t, pending_call> pending_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/request/chat_service.h
@@ -0,0 +1,79 @@
+// Runs chat completions: admission, routing, attempts, resumed streams, and one bill at the end.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/platform/engine.h>
+#include <agatespar/request/admission.h>
+#include <agatespar/request/permit_source.h>
+#include <agatespar/request/request.h>
+#include <agatespar/request/session.h>
+#include <agatespar/request/usage_account.h>
+#include <agatespar/routing/retry_budget.h>
+#include <agatespar/telemetry/trace.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+class explain_store;
+class output_estimates;
+class server_table;
+
+/// Counts of the request path since the start.
+struct request_counters {
+    std::uint64_t started{0};
+    std::uint64_t answered{0};
+    std::uint64_t refused_not_run{0};
+    std::uint64_t failed_unknown{0};
+    std::uint64_t cancelled{0};
+    std::uint64_t attempts{0};
+    std::uint64_t resumed{0};
+    std::uint64_t retries_denied{0};
+    std::uint64_t late_events_dropped{0};
+    std::uint64_t forwarded{0};
+    std::uint64_t running{0};
+};
+
+/// Sends a request on to a VM of another zone. The sink gets the answer as from a local run.
+using forward_function =
+    std::function<cancel_handle(const zone_id&, const chat_request&, duration remaining, const answer_sink&)>;
+
+/// All that the chat service uses; everything outlives it.
+struct chat_dependencies {
+    event_loop* loop{nullptr};
+    server_table* servers{nullptr};
+    std::mt19937_64* random{nullptr};
+    explain_store* explanations{nullptr};
+    span_recorder* spans{nullptr};
+    request_counters* counters{nullptr};
+    engine_client engine;
+    permit_source permits;
+    session_codec sessions;
+    forward_function forward;
+    usage_account usage;
+    retry_budget* retries{nullptr};
+    output_estimates* outputs{nullptr};
+};
+
+/// Runs chat requests until their answers are whole, refused, or cancelled.
+class chat_service {
+public:
+    explicit chat_service(chat_dependencies dependencies);
+    chat_service(const chat_service&) = delete;
+    chat_service& operator=(const chat_service&) = delete;
+    ~chat_service();
+
+    /// Runs a request. @param forwarded whether another zone's VM sent it, so that it is not sent on.
+    /// @return stops the request when its caller is gone; the sink gets no call afterwards.
+    cancel_handle run(chat_request request, answer_sink sink, bool forwarded);
+
+private:
+    chat_dependencies dependencies_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/request/messages.h
@@ -0,0 +1,97 @@
+// The messages by which a VM sends a request on to a VM of another zone and gets the answer back.
+#pragma once
+
+#include <agatespar/wire/codec.h>
+
+#include <cstdint>
+#include <string>
+
+namespace agatespar {
+
+/// A chat request on its way to the zone that can run it.
+struct forward_request_message {
+    std::uint64_t forward{0};
+    request_id request;
+    client_account_id account;
+    std::string target;
+    std::string request_class;
+    std::string session_token;
+    std::string messages_json;
+    std::uint64_t max_output{0};
+    bool streamed{false};
+    std::int64_t remaining_ms{0};
+    std::string traceparent;
+    /// Empty unless the caller has the beginning of the answer.
+    std::string resume_model;
+    std::string resume_version;
+    std::uint64_t resume_tokens{0};
+    MSGPACK_DEFINE_ARRAY(forward, request, account, target, request_class, session_token, messages_json, max_output,
+                         streamed, remaining_ms, traceparent, resume_model, resume_version, resume_tokens)
+};
+
+/// A piece of the answer; the first one carries the head and no text.
+struct forward_chunk_message {
+    std::uint64_t forward{0};
+    /// Rises by one from zero; a gap means that a piece was lost.
+    std::uint32_t sequence{0};
+    bool is_head{false};
+    std::string text;
+    std::uint64_t delivered{0};
+    model_id model;
+    version_name version;
+    std::string session_token;
+    std::string moved_from;
+    MSGPACK_DEFINE_ARRAY(forward, sequence, is_head, text, delivered, model, version, session_token, moved_from)
+};
+
+/// The end of the answer, or its failure.
+struct forward_end_message {
+    std::uint64_t forward{0};
+    std::uint32_t sequence{0};
+    bool failed{false};
+    std::string finish_reason;
+    std::uint64_t prompt_tokens{0};
+    std::uint64_t output_tokens{0};
+    std::uint8_t code{0};
+    std::string message;
+    std::uint8_t ran{0};
+    std::int64_t retry_after_ms{-1};
+    MSGPACK_DEFINE_ARRAY(forward, sequence, failed, finish_reason, prompt_tokens, output_tokens, code, message, ran,
+                         retry_after_ms)
+};
+
+/// The caller is gone, or the sender gave up on this forward.
+struct forward_cancel_message {
+    std::uint64_t forward{0};
+    MSGPACK_DEFINE_ARRAY(forward)
+};
+
+/// A plain-service call on its way to the zone that has the service.
+struct forward_call_message {
+    std::uint64_t forward{0};
+    request_id request;
+    client_account_id account;
+    service_name service;
+    std::string method;
+    std::string body;
+    bool has_key{false};
+    idempotency_key key;
+    std::string key_time;
+    std::string traceparent;
+    MSGPACK_DEFINE_ARRAY(forward, request, account, service, method, body, has_key, key, key_time, traceparent)
+};
+
+/// The answer of a forwarded call, or its failure.
+struct forward_answer_message {
+    std::uint64_t forward{0};
+    bool failed{false};
+    std::string body;
+    bool repeated{false};
+    std::uint8_t code{0};
+    std::string message;
+    std::uint8_t ran{0};
+    std::int64_t retry_after_ms{-1};
+    MSGPACK_DEFINE_ARRAY(forward, failed, body, repeated, code, message, ran, retry_after_ms)
+};
+
+} // namespace agatespar
--- a/include/agatespar/request/request.h
+++ b/include/agatespar/request/request.h
@@ -15,6 +15,12 @@
 
 namespace agatespar {
 
+/// How far an answer got on an earlier try, for a request that goes on elsewhere.
+struct resume_point {
+    version_id version;
+    token_count delivered;
+};
+
 /// A chat completion as a caller asks for it.
 struct chat_request {
     request_id id;
@@ -32,6 +38,8 @@
     std::optional<std::chrono::milliseconds> deadline;
     /// The W3C traceparent of the caller, or empty.
     std::string traceparent;
+    /// Set if the caller has the beginning of the answer already.
+    std::optional<resume_point> resume;
 };
 
 /// A call of a plain service's method.
@@ -43,8 +51,8 @@
     std::string body;
     /// Required for methods that are not idempotent.
     std::optional<idempotency_key> key;
-    /// When the caller made the key, where the key itself does not show it.
-    std::optional<wall_time> key_time;
+    /// When the caller made the key, as the caller states it; empty if the key itself shows it.
+    std::string key_time;
     std::string traceparent;
 };
 
@@ -64,10 +72,17 @@
     token_count output_tokens;
 };
 
+/// A piece of an answer.
+struct answer_text {
+    std::string_view text;
+    /// Tokens of the answer up to the end of this piece.
+    token_count delivered;
+};
+
 /// Takes one answer: start, any number of texts, then finish or fail once. Fail may come at any point.
 struct answer_sink {
     std::function<void(const answer_head&)> start;
-    std::function<void(std::string_view)> text;
+    std::function<void(const answer_text&)> text;
     std::function<void(const answer_end&)> finish;
     std::function<void(const error&)> fail;
 };
--- /dev/null
+++ b/include/agatespar/request/server_table.h
@@ -0,0 +1,149 @@
+// What this VM knows of the backend servers in its zone, and the routing view made from it.
+#pragma once
+
+#include <agatespar/config/configuration.h>
+#include <agatespar/platform/engine.h>
+#include <agatespar/platform/vm_list.h>
+#include <agatespar/routing/view.h>
+#include <agatespar/support/clock.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace agatespar {
+
+/// What a request can be routed to: a version of a model, or a plain service.
+struct route_target {
+    std::optional<version_id> version;
+    std::optional<service_id> service;
+
+    friend bool operator==(const route_target&, const route_target&) = default;
+};
+
+/// A server's load as its owner last told it.
+struct server_load {
+    /// How many requests the owner lets run on it now.
+    std::uint32_t limit{0};
+    std::uint32_t running{0};
+    std::uint32_t queued{0};
+    bool healthy{false};
+    /// When this VM learned of it.
+    steady_time at;
+};
+
+/// One backend server of the own zone.
+struct known_server {
+    vm_entry entry;
+    /// The versions that it holds, as its owner last said.
+    std::vector<engine_version> versions;
+    server_load load;
+    std::uint32_t own_running{0};
+    std::uint32_t sent_since_report{0};
+    std::uint32_t ended_since_report{0};
+    double failure_rate{0.0};
+};
+
+/// A measured speed of a version, as moving averages.
+struct version_speed {
+    double prefill_tokens_per_s{5000.0};
+    double decode_ms_per_token{20.0};
+};
+
+/// How one attempt went.
+struct attempt_measure {
+    bool succeeded{false};
+    token_count prompt_tokens;
+    token_count output_tokens;
+    duration first_token{0};
+    duration total{0};
+};
+
+/// How many more requests a zone could run for one target.
+struct target_capacity {
+    route_target target;
+    std::uint32_t free_slots{0};
+};
+
+/// What is known of another zone by its summaries.
+struct other_zone {
+    bool in_service{true};
+    bool reachable{true};
+    double one_way_ms{1.0};
+    std::vector<target_capacity> capacity;
+};
+
+/// Keeps the servers and gives the routing view; indices of the view are valid until the next change.
+class server_table {
+public:
+    explicit server_table(zone_id own_zone) : own_zone_(std::move(own_zone)) {}
+
+    /// Takes a new configuration: versions, shares, zones in service.
+    void apply_configuration(std::shared_ptr<const configuration> config);
+    /// Takes the platform's list; only backend servers of the own zone count.
+    void apply_vm_list(const std::vector<vm_entry>& entries);
+    /// Takes the versions that a server holds.
+    void apply_versions(const server_id& id, const std::vector<engine_version>& versions);
+    /// Takes a server's load; one that is not newer than the last is passed over.
+    void apply_load(const server_id& id, const server_load& load);
+
+    /// Counts an attempt that starts or ends on a server.
+    void count_start(const server_id& id);
+    void count_end(const server_id& id, const route_target& target, const attempt_measure& measure);
+
+    /// @return the view that decisions use, brought up to date.
+    const routing_view& view();
+    /// Replaces what is known of another zone.
+    void set_zone(const zone_id& zone, other_zone state);
+    /// @return the free slots of each target in the own zone, for the other zones.
+    std::vector<target_capacity> free_capacity();
+
+    const configuration& config() const { return *config_; }
+    const zone_id& own_zone() const { return own_zone_; }
+    std::optional<version_index> index_of(const route_target& target) const;
+    std::optional<server_index> index_of(const server_id& id, version_index version) const;
+    std::optional<fleet_index> index_of(const fleet_name& fleet) const;
+    const known_server* find(const server_id& id) const;
+    /// @return the server behind an index of the current view.
+    const known_server& at(server_index index) const;
+    const server_id& id_at(server_index index) const { return view_servers_[index.value()].id; }
+    const route_target& target_at(version_index index) const { return targets_[index.value()]; }
+    const zone_id& zone_at(zone_index index) const { return zones_[index.value()]; }
+    std::vector<server_id> server_ids() const;
+
+private:
+    /// One row of the view: a server with one of the versions that it holds.
+    struct view_server {
+        server_id id;
+        version_index version;
+
+        friend bool operator==(const view_server&, const view_server&) = default;
+    };
+
+    void rebuild();
+    void rebuild_targets();
+    void rebuild_zones();
+    void rebuild_servers();
+    void add_rows(const server_id& id, const known_server& server);
+    void refresh(server_view& row, const known_server& server) const;
+    known_server* find_mutable(const server_id& id);
+
+    zone_id own_zone_;
+    std::shared_ptr<const configuration> config_{std::make_shared<configuration>()};
+    std::unordered_map<server_id, known_server> servers_;
+    std::unordered_map<zone_id, other_zone> other_zones_;
+    bool zones_changed_{true};
+    bool rebuild_needed_{true};
+    bool refresh_needed_{true};
+
+    std::vector<fleet_name> fleets_;
+    std::vector<route_target> targets_;
+    std::vector<version_speed> speeds_;
+    std::vector<zone_id> zones_;
+    std::vector<view_server> view_servers_;
+    routing_view view_;
+};
+
+} // namespace agatespar
--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -17,11 +17,11 @@
     soup_exchange(SoupServerMessage* message, std::string body, std::size_t max_unsent, http_server_counters& counters)
         : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))), method_(soup_server_message_get_method(message)),
           path_(g_uri_get_path(soup_server_message_get_uri(message))), body_(std::move(body)), max_unsent_(max_unsent),
-          counters_(counters)
+          counters_(counters),
+          finished_signal_(g_signal_connect(message_, "finished", G_CALLBACK(&soup_exchange::handle_finished), this)),
+          wrote_signal_(
+              g_signal_connect(message_, "wrote-body-data", G_CALLBACK(&soup_exchange::handle_wrote_data), this))
     {
-        finished_signal_ = g_signal_connect(message_, "finished", G_CALLBACK(&soup_exchange::handle_finished), this);
-        wrote_signal_ =
-            g_signal_connect(message_, "wrote-body-data", G_CALLBACK(&soup_exchange::handle_wrote_data), this);
     }
     soup_exchange(const soup_exchange&) = delete;
     soup_exchange& operator=(const soup_exchange&) = delete;
@@ -142,8 +142,8 @@
     std::size_t unsent_{0};
     bool answered_{false};
     bool gone_{false};
-    gulong finished_signal_{0};
-    gulong wrote_signal_{0};
+    gulong finished_signal_;
+    gulong wrote_signal_;
     std::function<void()> gone_callback_;
 };
 
--- /dev/null
+++ b/lib/request/chat_run.h
@@ -0,0 +1,93 @@
+// The life of one chat request, private to the request part.
+#pragma once
+
+#include <agatespar/request/admission.h>
+#include <agatespar/request/chat_service.h>
+#include <agatespar/request/server_table.h>
+#include <agatespar/routing/decision.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+/// One request from admission to its end. It lives as long as a callback refers to it.
+class chat_run : public std::enable_shared_from_this<chat_run> {
+public:
+    chat_run(const chat_dependencies& dependencies, chat_request request, answer_sink sink, bool forwarded);
+
+    void start();
+    void cancel();
+
+private:
+    /// The attempt that is running now.
+    struct running_attempt {
+        attempt_id id;
+        server_id server;
+        route_target target;
+        permit granted;
+        duration predicted_total{0};
+        trace_context span;
+        steady_time started;
+        std::optional<steady_time> first_token;
+        cancel_handle cancel;
+    };
+
+    void open_session();
+    void route();
+    route_request make_route_request() const;
+    request_class_id class_id() const;
+    void explain(const outcome<decision>& result, const explanation& explained);
+    void forward(const decision& chosen);
+    answer_sink make_forward_sink();
+    void take_forward_end(const answer_end& end);
+    void take_forward_error(const error& problem);
+    void acquire(const decision& chosen);
+    void begin_attempt(const server_id& server, const route_target& target, const permit& granted, duration predicted);
+    engine_callbacks make_callbacks(attempt_id id);
+    bool is_current(attempt_id id) const;
+    void take_tokens(const engine_tokens& tokens);
+    void take_end(const engine_finish& finish);
+    void take_error(const error& problem);
+    void end_attempt(work_result result, const std::string& problem);
+    void retry_or_fail(const error& problem);
+    void send_head(const version_id& version);
+    void bill_and_finish(const std::string& finish_reason);
+    void bill_partial(usage_outcome result);
+    usage_record make_bill(usage_outcome result) const;
+    void add_cost(const running_attempt& attempt);
+    void fail(const error& problem);
+    void close();
+    steady_time now() const { return dependencies_.loop->time().now(); }
+    run_state proven_state() const { return attempts_ == 0 ? run_state::not_run : run_state::outcome_unknown; }
+
+    const chat_dependencies& dependencies_;
+    chat_request request_;
+    answer_sink sink_;
+    bool forwarded_;
+    bool closed_{false};
+    admitted_chat admitted_;
+    session_state session_;
+    trace_context trace_;
+    span_id trace_parent_;
+    wall_time started_;
+    steady_time deadline_;
+    timer_id deadline_timer_;
+    std::vector<server_id> excluded_;
+    std::uint32_t routes_{0};
+    std::uint32_t attempts_{0};
+    std::optional<running_attempt> attempt_;
+    cancel_handle forward_cancel_;
+    std::optional<version_id> answering_version_;
+    std::optional<version_id> moved_from_;
+    std::uint64_t delivered_tokens_{0};
+    token_count prompt_tokens_;
+    std::uint64_t attempt_first_token_{0};
+    std::vector<attempt_cost> costs_;
+    bool reserved_{false};
+    timer_id retry_timer_;
+};
+
+} // namespace agatespar
--- a/lib/request/request_id.cpp
+++ b/lib/request/request_id.cpp
@@ -2,14 +2,12 @@
 #include <agatespar/request/request_id.h>
 
 #include <array>
-#include <charconv>
 #include <cstdint>
 #include <cstdio>
 
 namespace agatespar {
 
 static constexpr std::size_t uuid_length = 36;
-static constexpr std::size_t version_position = 14;
 
 request_id make_request_id(wall_time now, std::mt19937_64& random)
 {
@@ -25,18 +23,4 @@
     return request_id{std::string{text.data()}};
 }
 
-std::optional<wall_time> time_of_uuid(std::string_view text)
-{
-    if (text.size() != uuid_length || text[8] != '-' || text[version_position] != '7') {
-        return std::nullopt;
-    }
-    const std::string digits = std::string{text.substr(0, 8)} + std::string{text.substr(9, 4)};
-    std::uint64_t ms = 0;
-    const auto [end, problem] = std::from_chars(digits.data(), digits.data() + digits.size(), ms, 16);
-    if (problem != std::errc{} || end != digits.data() + digits.size()) {
-        return std::nullopt;
-    }
-    return wall_time{std::chrono::milliseconds{ms}};
-}
-
 } // namespace agatespar
--- /dev/null
+++ b/lib/request/service_run.cpp
@@ -0,0 +1,431 @@
+// The life of one plain-service call: admission, claim, routing, dispatch, outcome and bill.
+#include <agatespar/ledger/key_age.h>
+#include <agatespar/request/explain_store.h>
+#include <agatespar/request/server_table.h>
+#include <agatespar/request/service_run.h>
+#include <agatespar/routing/decision.h>
+#include <agatespar/support/hash.h>
+
+#include <memory>
+#include <utility>
+
+namespace agatespar {
+
+// How long a call may take in all.
+static constexpr std::chrono::seconds call_deadline{20};
+static constexpr std::chrono::seconds look_up_patience{5};
+// A repeat of a running call asks for its outcome this often.
+static constexpr std::chrono::milliseconds repeat_interval{250};
+static constexpr std::uint32_t max_routes = 8;
+static constexpr std::uint16_t answered_status = 200;
+
+namespace {
+
+/// One call. It lives as long as a callback refers to it.
+class service_run : public std::enable_shared_from_this<service_run> {
+public:
+    service_run(const service_dependencies& dependencies, service_request request, bool forwarded,
+                service_callback callback)
+        : dependencies_(dependencies), request_(std::move(request)), forwarded_(forwarded),
+          callback_(std::move(callback)), deadline_(dependencies.loop->time().now() + call_deadline)
+    {
+    }
+
+    void start();
+
+private:
+    outcome<void> admit();
+    void claim();
+    void take_claim(outcome<claim_result>&& result);
+    void wait_or_fail(const error& problem);
+    void route();
+    void forward(const zone_id& zone);
+    void acquire(const server_id& server, const route_target& target);
+    void dispatch(const server_id& server, const route_target& target, const permit& granted);
+    void take_answer(const server_id& server, const route_target& target, const permit& granted,
+                     outcome<plain_answer>&& answer);
+    void succeed(const plain_answer& answer);
+    void repeat(const stored_outcome& first);
+    void retry_or_fail(const error& problem);
+    void settle(const request_id& billed, const std::function<void()>& may_finish);
+    void fail(error problem);
+    void finish(outcome<service_answer> result);
+    steady_time now() const { return dependencies_.loop->time().now(); }
+
+    const service_dependencies& dependencies_;
+    service_request request_;
+    bool forwarded_;
+    service_callback callback_;
+    steady_time deadline_;
+    bool idempotent_{false};
+    bool reserved_{false};
+    std::optional<granted_claim> claim_;
+    inline_list<server_index, max_excluded_servers> excluded_;
+    std::uint32_t routes_{0};
+    std::uint32_t attempts_{0};
+    /// Whether some attempt may have reached a backend server.
+    bool may_have_run_{false};
+    trace_context trace_;
+    wall_time started_;
+};
+
+} // namespace
+
+void service_run::start()
+{
+    ++dependencies_.counters->started;
+    ++dependencies_.counters->running;
+    started_ = dependencies_.loop->time().wall_now();
+    const auto parent = parse_traceparent(request_.traceparent);
+    trace_ = parent ? dependencies_.spans->start_child(*parent) : dependencies_.spans->start_trace();
+    if (const auto admitted = admit(); !admitted) {
+        fail(admitted.error());
+        return;
+    }
+    if (!forwarded_ && !dependencies_.usage.reserve()) {
+        fail({error_code::overloaded, "too many bills wait for the log", run_state::not_run, std::chrono::seconds{5}});
+        return;
+    }
+    reserved_ = !forwarded_;
+    dependencies_.retries->on_fresh_request();
+    route();
+}
+
+outcome<void> service_run::admit()
+{
+    const configuration& config = dependencies_.servers->config();
+    const service_id id{request_.account.fleet, request_.service};
+    const service_settings* service = find_service(config, id);
+    const client_account_settings* account = find_account(config, request_.account);
+    if (service == nullptr || service->kind != service_kind::plain) {
+        return failure(error_code::not_found, "no plain service of this name in the account's fleet");
+    }
+    if (account == nullptr || !account->services.contains(request_.service)) {
+        return failure(error_code::not_allowed, "the account may not use service " + request_.service.value());
+    }
+    const auto method = service->methods.find(method_name{request_.method});
+    if (method == service->methods.end()) {
+        return failure(error_code::not_found, "the service has no method of this name");
+    }
+    idempotent_ = method->second.idempotent;
+    return {};
+}
+
+/// A key that the caller gave may come a second time; one that stands for this request alone can't.
+void service_run::claim()
+{
+    const bool own_key = !request_.key;
+    const idempotency_key key = request_.key.value_or(idempotency_key{request_.id.value()});
+    const auto key_time = key_time_of(key, request_.key_time);
+    if (!key_time) {
+        fail(key_time.error());
+        return;
+    }
+    claim_order order;
+    order.key = {request_.account, key};
+    order.key_time = *key_time;
+    order.request = request_.id;
+    const std::string content = request_.service.value() + "\n" + request_.method + "\n" + request_.body;
+    order.fingerprint = request_fingerprint{stable_hash(content)};
+    order.sent = own_key ? submission::first : submission::possibly_repeated;
+    order.patience = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now());
+    const auto self = shared_from_this();
+    dependencies_.claims->claim(order, [self](outcome<claim_result> result) { self->take_claim(std::move(result)); });
+}
+
+void service_run::take_claim(outcome<claim_result>&& result)
+{
+    if (!result) {
+        wait_or_fail(result.error());
+        return;
+    }
+    if (const auto* first = std::get_if<stored_outcome>(&*result)) {
+        repeat(*first);
+        return;
+    }
+    claim_ = std::get<granted_claim>(*result);
+    route();
+}
+
+/// While another submission of the key runs, its outcome is soon to come.
+void service_run::wait_or_fail(const error& problem)
+{
+    const bool may_wait = problem.code == error_code::conflict && now() + repeat_interval < deadline_;
+    if (!may_wait) {
+        fail(problem);
+        return;
+    }
+    dependencies_.loop->schedule(repeat_interval, [self = shared_from_this()] { self->claim(); });
+}
+
+void service_run::route()
+{
+    server_table& servers = *dependencies_.servers;
+    const routing_view& view = servers.view();
+    route_request wanted;
+    wanted.fleet = servers.index_of(request_.account.fleet).value_or(fleet_index{});
+    const route_target target{std::nullopt, service_id{request_.account.fleet, request_.service}};
+    if (const auto index = servers.index_of(target)) {
+        wanted.allowed.set(index->value());
+    }
+    wanted.session_hash = stable_hash(request_.id.value());
+    wanted.excluded = excluded_;
+    wanted.deadline = deadline_;
+    wanted.forwarded = forwarded_ || claim_.has_value();
+    explanation explained;
+    const auto chosen = decide(view, wanted, now(), *dependencies_.random, &explained);
+    if (!chosen || ++routes_ > max_routes) {
+        fail(chosen ? error{error_code::overloaded, "no backend server could take the call", {}, {}} : chosen.error());
+        return;
+    }
+    if (chosen->forward) {
+        forward(servers.zone_at(chosen->zone));
+        return;
+    }
+    // A claim comes only when this zone has a server, as the VM that claims is the one that dispatches.
+    if (!idempotent_ && !claim_) {
+        claim();
+        return;
+    }
+    acquire(servers.id_at(chosen->server), target);
+}
+
+void service_run::forward(const zone_id& zone)
+{
+    ++dependencies_.counters->forwarded;
+    const auto self = shared_from_this();
+    dependencies_.forward(zone, request_, deadline_ - now(), [self](outcome<service_answer> answer) {
+        if (!answer) {
+            self->may_have_run_ = answer.error().ran != run_state::not_run;
+            self->fail(answer.error());
+            return;
+        }
+        self->settle(self->request_.id, [self, answer] { self->finish(answer); });
+    });
+}
+
+void service_run::acquire(const server_id& server, const route_target& target)
+{
+    const auto self = shared_from_this();
+    dependencies_.permits.acquire(server, false, [self, server, target](const outcome<permit>& granted) {
+        if (granted) {
+            self->dispatch(server, target, *granted);
+            return;
+        }
+        if (const auto index = self->dependencies_.servers->index_of(target)) {
+            self->excluded_.push(self->dependencies_.servers->index_of(server, *index).value_or(server_index{}));
+        }
+        self->route();
+    });
+}
+
+void service_run::dispatch(const server_id& server, const route_target& target, const permit& granted)
+{
+    const known_server* known = dependencies_.servers->find(server);
+    if (known == nullptr) {
+        dependencies_.permits.release(granted, {work_result::unused});
+        route();
+        return;
+    }
+    plain_call call;
+    call.server_url = known->entry.address;
+    call.attempt = attempt_id{(*dependencies_.random)()};
+    call.method = request_.method;
+    call.body = request_.body;
+    call.idempotent = idempotent_;
+    call.key = claim_ ? claim_->key.key : request_.key;
+    call.traceparent = format_traceparent(dependencies_.spans->start_child(trace_));
+    if (claim_ && known->entry.fences) {
+        call.fence = claim_->fence;
+    }
+    if (claim_) {
+        // Nothing may come between this check and the call.
+        if (const auto allowed = dependencies_.claims->begin_dispatch(*claim_); !allowed) {
+            dependencies_.permits.release(granted, {work_result::unused});
+            claim_.reset();
+            fail(allowed.error());
+            return;
+        }
+    }
+    ++attempts_;
+    ++dependencies_.counters->attempts;
+    dependencies_.servers->count_start(server);
+    const auto self = shared_from_this();
+    dependencies_.client.call(call, [self, server, target, granted](outcome<plain_answer> answer) {
+        self->take_answer(server, target, granted, std::move(answer));
+    });
+}
+
+void service_run::take_answer(const server_id& server, const route_target& target, const permit& granted,
+                              outcome<plain_answer>&& answer)
+{
+    dependencies_.servers->count_end(server, target, {answer.has_value(), {}, {}, {}, {}});
+    const bool refused = !answer && answer.error().ran == run_state::not_run;
+    dependencies_.permits.release(granted, {answer    ? work_result::good
+                                            : refused ? work_result::refused
+                                                      : work_result::failed});
+    if (answer) {
+        succeed(*answer);
+        return;
+    }
+    may_have_run_ = may_have_run_ || answer.error().ran != run_state::not_run;
+    if (const auto index = dependencies_.servers->index_of(target)) {
+        excluded_.push(dependencies_.servers->index_of(server, *index).value_or(server_index{}));
+    }
+    if (idempotent_) {
+        retry_or_fail(answer.error());
+        return;
+    }
+    if (!may_have_run_) {
+        dependencies_.claims->abandon(*claim_);
+    }
+    claim_.reset();
+    fail(answer.error());
+}
+
+void service_run::succeed(const plain_answer& answer)
+{
+    if (claim_) {
+        stored_outcome result{request_.id, answered_status, "application/json", answer.body, false};
+        dependencies_.claims->record_outcome(*claim_, std::move(result));
+    }
+    settle(request_.id, [self = shared_from_this(), body = answer.body] { self->finish(service_answer{body, false}); });
+}
+
+/// The first run may have died before its bill, so a repeat bills under the first run's id; the fold drops the second.
+void service_run::repeat(const stored_outcome& first)
+{
+    settle(first.request, [self = shared_from_this(), first] {
+        if (first.body_omitted) {
+            self->fail({error_code::conflict, "the call ran; its answer was too large to be kept", run_state::ran, {}});
+            return;
+        }
+        self->finish(service_answer{first.body, true});
+    });
+}
+
+void service_run::retry_or_fail(const error& problem)
+{
+    const auto delay = dependencies_.retries->plan_retry(static_cast<int>(attempts_), duration::zero(), deadline_,
+                                                         now(), *dependencies_.random);
+    if (!delay) {
+        ++dependencies_.counters->retries_denied;
+        fail(problem);
+        return;
+    }
+    dependencies_.loop->schedule(*delay, [self = shared_from_this()] { self->route(); });
+}
+
+void service_run::settle(const request_id& billed, const std::function<void()>& may_finish)
+{
+    if (!reserved_) {
+        may_finish();
+        return;
+    }
+    reserved_ = false;
+    usage_record bill;
+    bill.request = billed;
+    bill.account = request_.account;
+    bill.service = request_.service;
+    bill.attempts.resize(1);
+    bill.finished = dependencies_.loop->time().wall_now();
+    bill.claimed = !idempotent_;
+    dependencies_.usage.settle(std::move(bill), may_finish);
+}
+
+void service_run::fail(error problem)
+{
+    if (claim_) {
+        // A claim that is still held here reached no backend server.
+        dependencies_.claims->abandon(*claim_);
+        claim_.reset();
+    }
+    if (reserved_) {
+        reserved_ = false;
+        dependencies_.usage.unreserve();
+    }
+    if (may_have_run_ && problem.ran == run_state::not_run) {
+        problem.ran = run_state::outcome_unknown;
+    }
+    dependencies_.explanations->add(request_.id, "The call was refused: " + problem.message + ".");
+    finish(tl::make_unexpected(std::move(problem)));
+}
+
+void service_run::finish(outcome<service_answer> result)
+{
+    --dependencies_.counters->running;
+    const bool not_run = !result && result.error().ran == run_state::not_run;
+    ++(result    ? dependencies_.counters->answered
+       : not_run ? dependencies_.counters->refused_not_run
+                 : dependencies_.counters->failed_unknown);
+    const auto parent = parse_traceparent(request_.traceparent);
+    dependencies_.spans->record({trace_,
+                                 parent ? parent->span : span_id{},
+                                 "service call",
+                                 span_kind::server,
+                                 started_,
+                                 dependencies_.loop->time().wall_now(),
+                                 {{"request_id", request_.id.value()}, {"service", request_.service.value()}},
+                                 result ? "" : result.error().message});
+    std::exchange(callback_, {})(std::move(result));
+}
+
+void run_service_call(const service_dependencies& dependencies, service_request request, bool forwarded,
+                      service_callback callback)
+{
+    std::make_shared<service_run>(dependencies, std::move(request), forwarded, std::move(callback))->start();
+}
+
+static outcome<service_answer> answer_of(const key_report& report)
+{
+    switch (report.state) {
+    case ledger_verdict::finished:
+        return service_answer{report.result.body, true};
+    case ledger_verdict::cancelled:
+        return failure(error_code::not_found, "the key is closed and no call of it ran or will run");
+    case ledger_verdict::not_claimed:
+    case ledger_verdict::abandoned:
+        // A call of the key may be on its way, so only closing the key proves that none runs.
+        return tl::make_unexpected(
+            error{error_code::not_found, "no call of this key is known so far", run_state::outcome_unknown, {}});
+    case ledger_verdict::running:
+        return tl::make_unexpected(
+            error{error_code::conflict, "the call is running", run_state::outcome_unknown, std::chrono::seconds{1}});
+    default:
+        return tl::make_unexpected(
+            error{error_code::outcome_unknown, "the call's outcome is not known", run_state::outcome_unknown, {}});
+    }
+}
+
+/// Asks the ledger about the request's key with one of its two questions.
+template <class Question>
+static void ask_ledger(const service_request& request, service_callback callback, const Question& question)
+{
+    const idempotency_key key = request.key.value_or(idempotency_key{});
+    const auto key_time = key_time_of(key, request.key_time);
+    if (!key_time) {
+        callback(tl::make_unexpected(key_time.error()));
+        return;
+    }
+    question(ledger_key{request.account, key}, *key_time, [callback = std::move(callback)](outcome<key_report> report) {
+        callback(report.and_then([](const key_report& known) { return answer_of(known); }));
+    });
+}
+
+void look_up_service_outcome(const service_dependencies& dependencies, const service_request& request,
+                             service_callback callback)
+{
+    ask_ledger(request, std::move(callback), [&](const ledger_key& key, wall_time time, key_report_callback done) {
+        dependencies.claims->look_up(key, time, look_up_patience, std::move(done));
+    });
+}
+
+void cancel_service_key(const service_dependencies& dependencies, const service_request& request,
+                        service_callback callback)
+{
+    ask_ledger(request, std::move(callback), [&](const ledger_key& key, wall_time time, key_report_callback done) {
+        dependencies.claims->cancel(key, time, look_up_patience, std::move(done));
+    });
+}
+
+} // namespace agatespar
