Wire the services into agatespard and show the whole path in a demo

Cause: the parts had no process to live in. Conclusion: the thin path is whole; tests on real processes build on its harness.

--- /dev/null
+++ b/include/agatespar/node/config_service.h
@@ -0,0 +1,52 @@
+// Keeps this VM at the latest configuration and lets its peers know what it holds.
+#pragma once
+
+#include <agatespar/config/config_reader.h>
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/wire/transport.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+
+namespace agatespar {
+
+class membership_service;
+class message_router;
+
+/// Runs the configuration reader: a few owners in the zone tail the log, all others follow them.
+class config_service {
+public:
+    using listener = std::function<void(const std::shared_ptr<const configuration>&)>;
+
+    config_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
+                   membership_service& members, std::mt19937_64& random);
+    ~config_service();
+    config_service(const config_service&) = delete;
+    config_service& operator=(const config_service&) = delete;
+
+    /// Adds a function that gets every new configuration.
+    void listen(listener callback) { listeners_.push_back(std::move(callback)); }
+    config_reader& reader() { return reader_; }
+    const config_reader& reader() const { return reader_; }
+
+private:
+    config_reader_seams make_seams(log_service log);
+    void follow_members();
+    void spread_mark();
+    void announce(const config_state& state);
+    template <class Message>
+    void send(boot_id to, message_kind kind, const Message& message);
+
+    event_loop& loop_;
+    transport& carrier_;
+    membership_service& members_;
+    std::vector<listener> listeners_;
+    config_reader reader_;
+    timer_id mark_timer_;
+    std::uint64_t mark_version_{0};
+    config_number spread_number_;
+    steady_time next_refresh_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/node/ledger_service.h
@@ -0,0 +1,47 @@
+// Runs this VM's share of the ledger: the partitions it owns, and the client for its own requests.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/ledger/claim_client.h>
+#include <agatespar/ledger/claim_owner.h>
+#include <agatespar/platform/log_service.h>
+#include <agatespar/wire/transport.h>
+
+#include <cstddef>
+#include <map>
+#include <memory>
+
+namespace agatespar {
+
+class membership_service;
+class message_router;
+
+/// Starts and stops partition owners as the zone's members change, and carries requests to owners.
+class ledger_service {
+public:
+    ledger_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
+                   membership_service& members, ledger_settings settings);
+
+    claim_client& client() { return client_; }
+    /// @return claims and outcomes that are not yet safe in the log; a planned stop waits for zero.
+    std::size_t unfinished() const;
+    const std::map<ledger_partition, std::unique_ptr<claim_owner>>& owners() const { return owners_; }
+
+private:
+    /// Starts owners of partitions that fell to this VM and ends idle ones that fell to another.
+    void follow_members();
+    void send(ledger_partition partition, unsigned attempt, const ledger_request& request);
+    void serve(ledger_partition partition, const ledger_request& request, claim_owner::reply_function reply);
+    void take_request(const frame& received);
+    claim_owner& owner_of_partition(ledger_partition partition);
+
+    event_loop& loop_;
+    log_service log_;
+    transport& carrier_;
+    membership_service& members_;
+    ledger_settings settings_;
+    claim_client client_;
+    std::map<ledger_partition, std::unique_ptr<claim_owner>> owners_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/node/membership_service.h
@@ -0,0 +1,49 @@
+// Runs the membership of this VM on the loop and the transport.
+#pragma once
+
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/membership/membership.h>
+#include <agatespar/support/ids.h>
+#include <agatespar/wire/transport.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+class message_router;
+
+/// Drives the membership's ticks, sends what it wants sent, and tells listeners what changed.
+class membership_service {
+public:
+    using listener = std::function<void(const membership_event&)>;
+
+    /// @param seeds addresses to greet until the VM list knows better.
+    membership_service(event_loop& loop, transport& carrier, message_router& router, const zone_id& zone, boot_id self,
+                       std::vector<std::string> seeds);
+    membership_service(const membership_service&) = delete;
+    membership_service& operator=(const membership_service&) = delete;
+    ~membership_service();
+
+    membership& members() { return members_; }
+    /// Adds a function that is told of every change.
+    void listen(listener callback) { listeners_.push_back(std::move(callback)); }
+    /// Takes the VM list's entry VMs of this zone.
+    void set_listed(std::vector<listed_vm> listed);
+    /// Tells the peers that this VM is gone.
+    void leave();
+
+private:
+    void tick();
+    void apply(const membership_output& output);
+
+    event_loop& loop_;
+    transport& carrier_;
+    std::vector<std::string> seeds_;
+    membership members_;
+    std::vector<listener> listeners_;
+    timer_id timer_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/node/operator_api.h
@@ -0,0 +1,31 @@
+// The operators' HTTP interface of a VM: health, metrics, status and explanations.
+#pragma once
+
+#include <agatespar/config/key_hash.h>
+#include <agatespar/frontend/http_server.h>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+/// What the interface shows.
+struct operator_api_dependencies {
+    std::vector<key_hash> key_hashes;
+    std::function<bool()> ready;
+    std::function<std::string()> metrics;
+    std::function<nlohmann::json()> status;
+    std::function<std::optional<std::vector<std::string>>(const std::string& request)> explain;
+};
+
+/// Handles /healthz, /readyz, /metrics, and with an operator's key /operator/status and /operator/explain/{request}.
+/// @return false if the path is none of these.
+bool handle_operator_request(const operator_api_dependencies& dependencies,
+                             const std::shared_ptr<http_exchange>& exchange);
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/node/config_service.cpp
@@ -0,0 +1,125 @@
+// The configuration reader on the zone's members: marks ride on the probes, records go by messages.
+#include <agatespar/membership/rendezvous.h>
+#include <agatespar/node/config_service.h>
+#include <agatespar/node/membership_service.h>
+#include <agatespar/node/message_router.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+// VMs of a zone that tail the log, so that one of them may die unnoticed.
+static constexpr std::size_t tailing_owners = 2;
+static constexpr std::chrono::milliseconds mark_interval{500};
+// An unchanged mark is spread again after this, so that followers know that the log is still read.
+static constexpr std::chrono::seconds mark_refresh{4};
+// Gossip takes some probe intervals to cross a zone, so a follower waits for longer than one refresh.
+static constexpr std::chrono::seconds peer_silence{15};
+static constexpr std::string_view config_role = "config";
+
+static config_reader_settings make_settings(boot_id self)
+{
+    config_reader_settings settings;
+    settings.self = self;
+    settings.peer_silence = peer_silence;
+    return settings;
+}
+
+config_service::config_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
+                               membership_service& members, std::mt19937_64& random)
+    : loop_(loop), carrier_(carrier), members_(members),
+      reader_(loop, make_seams(std::move(log)), make_settings(members.members().self()), random),
+      mark_version_(static_cast<std::uint64_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(loop.time().wall_now().time_since_epoch()).count()))
+{
+    router.handle({message_kind::config_pull}, [this](const frame& received) {
+        if (const auto pull = decode<config_pull>(received.payload)) {
+            carrier_.send(received.reply_address, message_kind::config_state, encode(reader_.answer(*pull)));
+        }
+    });
+    router.handle({message_kind::config_state}, [this](const frame& received) {
+        if (const auto state = decode<config_state>(received.payload)) {
+            reader_.take_state(*state);
+        }
+    });
+    members_.listen([this](const membership_event& event) {
+        if (event.kind != membership_event_kind::item) {
+            follow_members();
+            return;
+        }
+        const bool is_mark =
+            event.item.kind == gossip_kind::config_head || event.item.kind == gossip_kind::config_contact;
+        if (!is_mark) {
+            return;
+        }
+        if (const auto mark = decode<config_mark>(event.item.bytes)) {
+            reader_.note_peer(*mark);
+        }
+    });
+    reader_.start();
+    follow_members();
+    spread_mark();
+}
+
+config_service::~config_service()
+{
+    loop_.cancel(mark_timer_);
+}
+
+config_reader_seams config_service::make_seams(log_service log)
+{
+    config_reader_seams seams;
+    seams.log = std::move(log);
+    seams.send_pull = [this](boot_id peer, const config_pull& pull) { send(peer, message_kind::config_pull, pull); };
+    seams.announce = [this](const config_state& state) { announce(state); };
+    seams.changed = [this](const std::shared_ptr<const configuration>& config) {
+        for (const listener& callback : listeners_) {
+            callback(config);
+        }
+        spread_mark();
+    };
+    return seams;
+}
+
+void config_service::follow_members()
+{
+    const auto owners = owners_of(ownership_key(config_role), members_.members().owners(), tailing_owners);
+    const bool tails = std::find(owners.begin(), owners.end(), members_.members().self()) != owners.end();
+    reader_.set_tailing(tails);
+}
+
+/// Only the tailing owners spread marks: one item for the zone, whatever the number of its VMs.
+void config_service::spread_mark()
+{
+    loop_.cancel(mark_timer_);
+    mark_timer_ = loop_.schedule(mark_interval, [this] { spread_mark(); });
+    const steady_time now = loop_.time().now();
+    const bool changed = reader_.mark().number != spread_number_;
+    if (!reader_.tailing() || !reader_.ready() || (!changed && now < next_refresh_)) {
+        return;
+    }
+    spread_number_ = reader_.mark().number;
+    next_refresh_ = now + mark_refresh;
+    const auto version =
+        std::chrono::duration_cast<std::chrono::milliseconds>(loop_.time().wall_now().time_since_epoch());
+    mark_version_ = std::max(mark_version_ + 1, static_cast<std::uint64_t>(version.count()));
+    // A mark that did not change needs no repair of losses, which only lasting items get.
+    const gossip_kind kind = changed ? gossip_kind::config_head : gossip_kind::config_contact;
+    members_.members().publish({kind, "", mark_version_, 0, encode(reader_.mark())}, changed);
+}
+
+/// The records reach the other VMs by pulls, which the urgent mark sets off.
+void config_service::announce(const config_state& /*state*/)
+{
+    spread_mark();
+}
+
+template <class Message>
+void config_service::send(boot_id to, message_kind kind, const Message& message)
+{
+    if (const auto address = members_.members().address_of(to)) {
+        carrier_.send(address->value(), kind, encode(message));
+    }
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/node/node.cpp
@@ -0,0 +1,271 @@
+// Wires the services of one VM together, and stops them in order.
+#include "node_services.h"
+#include "session_codec.h"
+
+#include <agatespar/platform/http_engine.h>
+#include <agatespar/platform/http_log.h>
+#include <agatespar/platform/http_plain_service.h>
+#include <agatespar/platform/http_vm_list.h>
+#include <agatespar/telemetry/log.h>
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+
+namespace agatespar {
+
+static constexpr std::chrono::seconds trace_interval{2};
+static constexpr std::chrono::milliseconds drain_interval{50};
+// The last messages of a stopping VM get this long to leave the process.
+static constexpr std::chrono::milliseconds farewell_time{200};
+
+static span_sink make_trace_sink(const node_settings& settings, const http_client& client)
+{
+    if (!settings.trace_file.empty()) {
+        return make_file_span_sink(settings.trace_file);
+    }
+    if (settings.trace_url.empty()) {
+        return {};
+    }
+    return [client, url = settings.trace_url](std::string json) {
+        http_request request;
+        request.method = "POST";
+        request.url = url;
+        request.body = std::move(json);
+        client.send(std::move(request), [](const outcome<http_response>&) {});
+    };
+}
+
+node::impl::impl(glib_event_loop& event_loop, const node_settings& initial, std::unique_ptr<transport> opened)
+    : loop(event_loop), settings(initial), random(std::random_device{}()), carrier(std::move(opened)), http(loop),
+      log(make_http_log(http.client(), settings.log_url)), spans({}, random()),
+      trace_sink(make_trace_sink(settings, http.client())), table(settings.zone),
+      members(loop, *carrier, router, settings.zone, carrier->self(), settings.peers),
+      config(loop, log, *carrier, router, members, random),
+      servers(loop, make_http_vm_list(http.client(), settings.vm_list_url), make_http_engine(http.client()), *carrier,
+              router, members, table),
+      zones(loop, *carrier, router, members, table, config.reader(), settings.region, random),
+      ledger(loop, log, *carrier, router, members, ledger_settings{}),
+      usage(loop, log, *carrier, router, members, random)
+{
+    registry.provide("membership", members);
+    registry.provide("config", config);
+    registry.provide("servers", servers);
+    registry.provide("zones", zones);
+    registry.provide("ledger", ledger);
+    registry.provide("usage", usage);
+    carrier->set_handler([this](const frame& received) { router.dispatch(received); });
+    config.listen([this](const std::shared_ptr<const configuration>& changed) {
+        table.apply_configuration(changed);
+        servers.apply_configuration(*changed);
+        log_event(log_severity::info, "configuration_in_force", {{"number", changed->number.value()}});
+    });
+    servers.listen([this](const std::vector<vm_entry>& entries) { zones.take_list(entries); });
+    wire_requests();
+    wire_interfaces();
+    trace_timer = loop.schedule(trace_interval, [this] { export_traces(); });
+}
+
+node::impl::~impl()
+{
+    loop.cancel(trace_timer);
+    loop.cancel(drain_timer);
+}
+
+void node::impl::wire_requests()
+{
+    const auto send = [this](const std::string& address, message_kind kind, std::string payload) {
+        return carrier->send(address, kind, std::move(payload));
+    };
+    const auto pick_vm = [this](const zone_id& zone) { return zones.pick_vm(zone); };
+    const auto next_id = [this] { return random(); };
+    forwards = std::make_unique<forwarding>(
+        forwarding_dependencies{&loop, next_id, send, pick_vm, [this](chat_request request, answer_sink sink) {
+                                    return chat->run(std::move(request), std::move(sink), true);
+                                }});
+    call_forwards = std::make_unique<call_forwarding>(call_forwarding_dependencies{
+        &loop, next_id, send, pick_vm, [this](service_request request, service_callback callback) {
+            run_service_call(calls, std::move(request), true, std::move(callback));
+        }});
+    router.handle({message_kind::forward_request, message_kind::forward_chunk, message_kind::forward_end,
+                   message_kind::forward_cancel},
+                  [this](const frame& received) { forwards->take(received); });
+    router.handle({message_kind::forward_call, message_kind::forward_answer},
+                  [this](const frame& received) { call_forwards->take(received); });
+    chat = std::make_unique<chat_service>(
+        chat_dependencies{&loop, &table, &random, &explanations, &spans, &counters, make_http_engine(http.client()),
+                          servers.source(), make_session_codec(settings.session_secret),
+                          [this](const zone_id& zone, const chat_request& request, duration remaining,
+                                 const answer_sink& sink) { return forwards->send(zone, request, remaining, sink); },
+                          usage.account(), &retries, &outputs});
+    calls = service_dependencies{
+        &loop,
+        &table,
+        &random,
+        &explanations,
+        &spans,
+        &counters,
+        &ledger.client(),
+        &retries,
+        make_http_plain_service(http.client()),
+        servers.source(),
+        usage.account(),
+        [this](const zone_id& zone, const service_request& request, duration remaining, service_callback callback) {
+            call_forwards->send(zone, request, remaining, std::move(callback));
+        },
+        ledger_settings{}};
+}
+
+void node::impl::wire_interfaces()
+{
+    caller_api.loop = &loop;
+    caller_api.random = &random;
+    caller_api.config = [this] { return config.reader().current(); };
+    caller_api.run_chat = [this](chat_request request, answer_sink sink) {
+        return chat->run(std::move(request), std::move(sink), false);
+    };
+    caller_api.run_service = [this](service_request request, service_callback callback) {
+        run_service_call(calls, std::move(request), false, std::move(callback));
+    };
+    caller_api.look_up_outcome = [this](const service_request& request, service_callback callback) {
+        look_up_service_outcome(calls, request, std::move(callback));
+    };
+    caller_api.cancel_key = [this](const service_request& request, service_callback callback) {
+        cancel_service_key(calls, request, std::move(callback));
+    };
+    caller_api.takes_work = [this] { return config.reader().ready() && servers.ready(); };
+    operator_api.key_hashes = settings.operator_key_hashes;
+    operator_api.ready = [this] { return is_ready(); };
+    operator_api.metrics = [this] { return render_metrics(); };
+    operator_api.status = [this] { return status(); };
+    operator_api.explain = [this](const std::string& request) { return explanations.find(request_id{request}); };
+}
+
+outcome<void> node::impl::listen()
+{
+    http_server_settings server_settings;
+    server_settings.listen_address = settings.listen;
+    server_settings.tls_certificate_file = settings.tls_certificate_file;
+    server_settings.tls_key_file = settings.tls_key_file;
+    auto opened = http_server::open(
+        loop, server_settings, [this](const std::shared_ptr<http_exchange>& exchange) { handle_exchange(exchange); });
+    if (!opened) {
+        return tl::make_unexpected(opened.error());
+    }
+    server = *std::move(opened);
+    write_port_file();
+    return {};
+}
+
+void node::impl::handle_exchange(const std::shared_ptr<http_exchange>& exchange)
+{
+    if (handle_operator_request(operator_api, exchange) || handle_caller_request(caller_api, exchange)) {
+        return;
+    }
+    respond_error(*exchange, {error_code::not_found, "no such path", run_state::not_run, {}}, request_id{});
+}
+
+bool node::impl::is_ready() const
+{
+    return !stopping && config.reader().ready() && servers.ready();
+}
+
+void node::impl::write_port_file() const
+{
+    if (settings.port_file.empty()) {
+        return;
+    }
+    const nlohmann::json addresses{{"http", server->address()}, {"peer", carrier->address()}};
+    const std::string unfinished = settings.port_file + ".tmp";
+    std::ofstream{unfinished} << addresses.dump() << "\n";
+    std::rename(unfinished.c_str(), settings.port_file.c_str());
+}
+
+void node::impl::export_traces()
+{
+    trace_timer = loop.schedule(trace_interval, [this] { export_traces(); });
+    if (trace_sink) {
+        export_spans(spans, "agatespard", to_string(settings.zone) + "/" + std::to_string(carrier->self().value()),
+                     trace_sink);
+    }
+}
+
+void node::impl::stop()
+{
+    if (stopping) {
+        return;
+    }
+    stopping = true;
+    log_event(log_severity::info, "stopping", {{"running", counters.running}});
+    members.members().announce_leaving(loop.time().now());
+    drain_timer = loop.schedule(settings.notice_time, [this] { begin_drain(); });
+}
+
+void node::impl::begin_drain()
+{
+    drain_deadline = loop.time().now() + settings.drain_time;
+    follow_drain();
+}
+
+/// New requests are served until the end: the balancer may be late, and a refusal would cost a caller.
+void node::impl::follow_drain()
+{
+    usage.outbox().flush();
+    const bool finished = counters.running == 0 && ledger.unfinished() == 0 && usage.outbox().pending() == 0;
+    if (finished || loop.time().now() >= drain_deadline) {
+        finish_stop();
+        return;
+    }
+    drain_timer = loop.schedule(drain_interval, [this] { follow_drain(); });
+}
+
+void node::impl::finish_stop()
+{
+    cut = counters.running;
+    log_event(cut == 0 ? log_severity::info : log_severity::warning, "stopped",
+              {{"cut_requests", static_cast<std::uint64_t>(cut)}});
+    members.leave();
+    export_traces();
+    drain_timer = loop.schedule(farewell_time, [this] { loop.quit(); });
+}
+
+outcome<std::unique_ptr<node>> node::open(glib_event_loop& loop, const node_settings& settings)
+{
+    std::random_device source;
+    const boot_id self{(std::uint64_t{source()} << 32U) | source()};
+    auto carrier = transport::open(loop, {settings.peer_listen, settings.key, self});
+    if (!carrier) {
+        return tl::make_unexpected(carrier.error());
+    }
+    auto opened = std::unique_ptr<node>{new node{std::make_unique<impl>(loop, settings, *std::move(carrier))}};
+    if (auto listening = opened->impl_->listen(); !listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return opened;
+}
+
+node::node(std::unique_ptr<impl> state) : impl_(std::move(state)) {}
+
+node::~node() = default;
+
+void node::stop()
+{
+    impl_->stop();
+}
+
+const std::string& node::http_address() const
+{
+    return impl_->server->address();
+}
+
+const std::string& node::peer_address() const
+{
+    return impl_->carrier->address();
+}
+
+std::size_t node::cut_requests() const
+{
+    return impl_->cut;
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/node/node_status.cpp
@@ -0,0 +1,179 @@
+// What a VM shows of itself: the status document and the metrics.
+#include "node_services.h"
+
+#include <nlohmann/json.hpp>
+
+namespace agatespar {
+
+using nlohmann::json;
+
+static json describe_config(const config_reader& reader)
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(reader.contact_age());
+    return {{"number", reader.current()->number.value()},
+            {"ready", reader.ready()},
+            {"tailing", reader.tailing()},
+            {"log_contact_age_ms", age.count()}};
+}
+
+static json describe_servers(const server_table& table)
+{
+    json servers = json::array();
+    for (const server_id& id : table.server_ids()) {
+        const known_server& server = *table.find(id);
+        json versions = json::array();
+        for (const engine_version& version : server.versions) {
+            versions.push_back(version.model.value() + "@" + version.version.value());
+        }
+        servers.push_back({{"name", to_string(id)},
+                           {"healthy", server.load.healthy},
+                           {"leaving", server.entry.state == vm_state::leaving},
+                           {"limit", server.load.limit},
+                           {"running", server.load.running},
+                           {"own_running", server.own_running},
+                           {"versions", std::move(versions)}});
+    }
+    return servers;
+}
+
+static json describe_requests(const request_counters& counters)
+{
+    return {{"started", counters.started},
+            {"running", counters.running},
+            {"answered", counters.answered},
+            {"refused_not_run", counters.refused_not_run},
+            {"failed_unknown", counters.failed_unknown},
+            {"cancelled", counters.cancelled},
+            {"attempts", counters.attempts},
+            {"forwarded", counters.forwarded}};
+}
+
+json node::impl::status()
+{
+    json peers = json::array();
+    for (const boot_id member : members.members().live()) {
+        peers.push_back(std::to_string(member.value()));
+    }
+    json partitions = json::array();
+    for (const auto& [partition, owner] : ledger.owners()) {
+        partitions.push_back({{"partition", partition.value()}, {"ready", owner->ready()}});
+    }
+    return {{"vm", std::to_string(carrier->self().value())},
+            {"zone", to_string(settings.zone)},
+            {"ready", is_ready()},
+            {"stopping", stopping},
+            {"config", describe_config(config.reader())},
+            {"members", std::move(peers)},
+            {"has_majority", members.members().has_majority()},
+            {"servers", describe_servers(table)},
+            {"ledger_partitions", std::move(partitions)},
+            {"usage_pending", usage.outbox().pending()},
+            {"requests", describe_requests(counters)}};
+}
+
+/// Sets a counter to a count that a service keeps itself.
+static void show(metrics_registry& metrics, const char* name, const char* help, std::uint64_t value,
+                 metric_labels labels = {})
+{
+    metrics.make_counter(name, help, std::move(labels)).value = value;
+}
+
+static void show_requests(metrics_registry& metrics, const request_counters& counters)
+{
+    show(metrics, "agatespar_requests_started_total", "Requests that callers or other zones sent.", counters.started);
+    constexpr const char* ended = "agatespar_requests_ended_total";
+    constexpr const char* help = "Requests by how they ended.";
+    show(metrics, ended, help, counters.answered, {{"result", "answered"}});
+    show(metrics, ended, help, counters.refused_not_run, {{"result", "refused_not_run"}});
+    show(metrics, ended, help, counters.failed_unknown, {{"result", "outcome_unknown"}});
+    show(metrics, ended, help, counters.cancelled, {{"result", "cancelled"}});
+    show(metrics, "agatespar_attempts_total", "Attempts on backend servers.", counters.attempts);
+    show(metrics, "agatespar_resumed_streams_total", "Broken streams that went on elsewhere.", counters.resumed);
+    show(metrics, "agatespar_retries_denied_total", "Retries that the budget or deadline forbade.",
+         counters.retries_denied);
+    show(metrics, "agatespar_late_events_dropped_total", "Late or crossed pieces of answers that were dropped.",
+         counters.late_events_dropped);
+    show(metrics, "agatespar_forwards_total", "Requests sent on to another zone.", counters.forwarded);
+    metrics.make_gauge("agatespar_requests_running", "Requests running now.")
+        .set(static_cast<double>(counters.running));
+}
+
+static void show_peer_traffic(metrics_registry& metrics, const transport& carrier)
+{
+    const transport_counters& total = carrier.counters();
+    show(metrics, "agatespar_peer_frames_refused_total", "Frames that were not sealed with the VM key.",
+         total.frames_refused);
+    show(metrics, "agatespar_peer_frames_replayed_total", "Frames that were repeated or outdated.",
+         total.frames_replayed);
+    show(metrics, "agatespar_peer_frames_dropped_total", "Frames that peers did not take.", total.frames_dropped);
+    for (unsigned number = 0; number <= UINT8_MAX; ++number) {
+        const transport_counters& kind = carrier.counters_of(static_cast<message_kind>(number));
+        if (kind.frames_sent + kind.frames_received == 0) {
+            continue;
+        }
+        const metric_label label{"kind", std::to_string(number)};
+        show(metrics, "agatespar_peer_bytes_sent_total", "Bytes sent to other VMs.", kind.bytes_sent, {label});
+        show(metrics, "agatespar_peer_bytes_received_total", "Bytes from other VMs.", kind.bytes_received, {label});
+        show(metrics, "agatespar_peer_frames_sent_total", "Frames sent to other VMs.", kind.frames_sent, {label});
+        show(metrics, "agatespar_peer_frames_received_total", "Frames from other VMs.", kind.frames_received, {label});
+    }
+}
+
+static void show_config(metrics_registry& metrics, const config_reader& reader)
+{
+    const config_reader_counters& counters = reader.counters();
+    metrics.make_gauge("agatespar_config_number", "The configuration in force.")
+        .set(static_cast<double>(reader.current()->number.value()));
+    show(metrics, "agatespar_config_hash_mismatches_total", "Peers with the same number and another hash.",
+         counters.hash_mismatches);
+    show(metrics, "agatespar_config_malformed_total", "Records that are no patches.", counters.malformed);
+    show(metrics, "agatespar_config_conflicts_total", "Patches against an outdated number.", counters.conflicts);
+    show(metrics, "agatespar_config_log_bytes_total", "Bytes read from the configuration's streams.",
+         counters.log_bytes);
+    show(metrics, "agatespar_config_peer_bytes_total", "Bytes of configuration from peers.", counters.peer_bytes);
+}
+
+static void show_ledger(metrics_registry& metrics, const ledger_service& ledger, const claim_client_counters& counters)
+{
+    show(metrics, "agatespar_claims_granted_total", "Claims that won their key.", counters.granted);
+    show(metrics, "agatespar_claims_repeated_total", "Repeats answered with the first outcome.",
+         counters.repeats_answered);
+    show(metrics, "agatespar_claims_refused_total", "Claims refused.", counters.refused);
+    show(metrics, "agatespar_claims_unknown_total", "Claims whose key has an unknown outcome.",
+         counters.outcome_unknown);
+    show(metrics, "agatespar_claims_expired_total", "Claims that expired before dispatch.",
+         counters.expired_before_dispatch);
+    std::uint64_t appends = 0;
+    for (const auto& [partition, owner] : ledger.owners()) {
+        appends += owner->counters().appends;
+    }
+    show(metrics, "agatespar_ledger_appends_total", "Appends of the partitions owned now.", appends);
+}
+
+static void show_usage(metrics_registry& metrics, const usage_outbox& outbox)
+{
+    const usage_outbox_counters& counters = outbox.counters();
+    show(metrics, "agatespar_usage_settled_total", "Usage records made.", counters.settled);
+    show(metrics, "agatespar_usage_confirmed_total", "Usage records safe in the log.", counters.confirmed);
+    show(metrics, "agatespar_usage_released_unheld_total", "Answers closed while only this VM held the record.",
+         counters.released_unheld);
+    show(metrics, "agatespar_usage_adopted_total", "Records appended for VMs that are gone.", counters.adopted);
+    metrics.make_gauge("agatespar_usage_pending", "Usage records that wait for the log.")
+        .set(static_cast<double>(outbox.pending()));
+}
+
+std::string node::impl::render_metrics()
+{
+    show_requests(metrics, counters);
+    show_peer_traffic(metrics, *carrier);
+    show_config(metrics, config.reader());
+    show_ledger(metrics, ledger, ledger.client().counters());
+    show_usage(metrics, usage.outbox());
+    const http_server_counters& http_counters = server->counters();
+    show(metrics, "agatespar_http_requests_total", "HTTP requests.", http_counters.requests);
+    show(metrics, "agatespar_http_too_large_total", "HTTP requests with too large a body.", http_counters.too_large);
+    show(metrics, "agatespar_http_timed_out_total", "HTTP requests that came too slowly.", http_counters.timed_out);
+    return render_prometheus(metrics);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/utils/harness/demo.py
@@ -0,0 +1,146 @@
+"""The main job from end to end: two fleets, entry VMs, a patch, and requests of every kind."""
+
+import argparse
+import sys
+
+from harness.fleet import (
+    COLOMBES_KEY,
+    KOVACIC_KEY,
+    KOVACIC_SMALL_KEY,
+    Fleet,
+    is_whole,
+    new_key,
+    two_fleets_operations,
+)
+
+
+def say(text):
+    print(text, flush=True)
+
+
+def start_everything(fleet):
+    fleet.start_platform()
+    fleet.start_engine("kovacic", "centre", "engine-1", "small@1")
+    fleet.start_engine("kovacic", "centre", "engine-2", "large@1")
+    fleet.start_plain("kovacic", "centre", "orders-1", "narudzbe")
+    fleet.start_engine("colombes", "centre", "engine-1", "small@1")
+    fleet.start_engine("colombes", "centre", "engine-2", "large@1")
+    fleet.start_plain("colombes", "centre", "reservations-1", "reservations")
+    fleet.start_daemon("kovacic", "centre", "vm-1")
+    fleet.start_daemon("kovacic", "centre", "vm-2")
+    fleet.start_daemon("colombes", "centre", "vm-3")
+    say("started the platform's stand-ins, 6 backend servers and 3 entry VMs")
+    code, output = fleet.patch(two_fleets_operations(), 0)
+    say("agatesparctl patch: " + output.strip())
+    assert code == 0, output
+    fleet.wait_ready()
+    fleet.wait_config(1)
+    fleet.wait_servers("vm-1", 3)
+    fleet.wait_servers("vm-2", 3)
+    fleet.wait_servers("vm-3", 3)
+    say("configuration 1 is in force on all entry VMs")
+
+
+def show_requests(fleet):
+    whole = fleet.chat("vm-1", "Which finish suits oak?")
+    assert whole.status == 200 and is_whole(whole, "Which finish suits oak?"), whole.body
+    say("vm-1 answered a whole question for kovacic: " + whole.json()["choices"][0]["message"]["content"][:60])
+    streamed = fleet.chat("vm-1", "A quote for a tower", stream=True)
+    assert streamed.status == 200 and streamed.body.rstrip().endswith("data: [DONE]"), streamed.body
+    say(f"vm-1 streamed an answer in {streamed.body.count('data: ') - 1} events, end mark included")
+    other = fleet.chat("vm-3", "A plan for a wedding", key=COLOMBES_KEY, target="assistant-colombe")
+    assert other.status == 200 and is_whole(other, "A plan for a wedding"), other.body
+    say("vm-3 answered for colombes, whose model has the same name")
+    crossed = fleet.chat("vm-1", "A plan for a baptism", key=COLOMBES_KEY, target="assistant-colombe")
+    assert crossed.status == 200 and is_whole(crossed, "A plan for a baptism"), crossed.body
+    say("vm-1 sent a request of colombes on to that fleet's zone and passed the whole answer back")
+
+
+def show_refusals(fleet):
+    refused = fleet.chat("vm-1", "Draft it well", key=KOVACIC_SMALL_KEY, target="large")
+    assert refused.status == 403 and refused.error()["ran"] == "not_run", refused.body
+    say("an account that may not use the model was refused: " + refused.error()["message"])
+    clash = fleet.chat("vm-1", "?", key=KOVACIC_KEY, target="assistant-colombe")
+    assert clash.status == 404 and clash.error()["ran"] == "not_run", clash.body
+    say("a service of the other fleet does not exist for the account: " + clash.error()["message"])
+
+
+def show_calls(fleet):
+    found = fleet.service("vm-1", "narudzbe/look_up", {"order": 7})
+    assert found.status == 200, found.body
+    key = new_key()
+    booked = fleet.service("vm-1", "narudzbe/book", {"order": 8}, idempotency_key=key)
+    assert booked.status == 200, booked.body
+    again = fleet.service("vm-2", "narudzbe/book", {"order": 8}, idempotency_key=key)
+    assert again.status == 200 and again.body == booked.body, again.body
+    runs = fleet.counts("kovacic-orders-1")["runs"]
+    assert runs[key] == 1, runs
+    say("an order was booked once; its repeat through vm-2 got the first answer")
+
+
+def show_death(fleet):
+    """Kills an entry VM while it holds requests; their callers send them again through another VM."""
+    key = new_key()
+    fleet.faults("kovacic-orders-1", delay_ms=1500)
+    import threading
+
+    results = []
+
+    def book():
+        try:
+            results.append(fleet.service("vm-1", "narudzbe/book", {"order": 9}, idempotency_key=key))
+        except Exception as problem:
+            results.append(problem)
+
+    caller = threading.Thread(target=book)
+    caller.start()
+    from harness.processes import wait_until
+
+    wait_until(lambda: fleet.counts("kovacic-orders-1")["runs"].get(key, 0) == 1, "the order to run")
+    fleet.processes["vm-1"].kill()
+    caller.join()
+    fleet.forget_daemon("vm-1")
+    fleet.faults("kovacic-orders-1", delay_ms=0)
+    repeat = fleet.service("vm-2", "narudzbe/book", {"order": 9}, idempotency_key=key)
+    runs = fleet.counts("kovacic-orders-1")["runs"]
+    assert runs[key] == 1, runs
+    assert repeat.status == 200 or repeat.error()["ran"] == "outcome_unknown", repeat.body
+    say(f"killed vm-1 while its order ran; the repeat through vm-2 was told the truth ({repeat.status}), runs: 1")
+    question = fleet.chat("vm-2", "Is anyone there?")
+    assert question.status == 200 and is_whole(question, "Is anyone there?"), question.body
+    say("vm-2 serves on")
+
+
+def show_explanation(fleet):
+    answer = fleet.chat("vm-2", "Why here?")
+    explained = fleet.explain("vm-2", answer.json()["id"]).json()
+    say("explain: " + " ".join(explained["sentences"]))
+
+
+def stop_everything(fleet):
+    for name in list(fleet.daemons):
+        code = fleet.processes[name].stop()
+        assert code == 0, f"{name} ended with {code}"
+    say("all entry VMs stopped without cutting a request")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build/release")
+    parser.add_argument("--kill-one", action="store_true", help="kill an entry VM in the middle")
+    options = parser.parse_args()
+    with Fleet(options.build) as fleet:
+        start_everything(fleet)
+        show_requests(fleet)
+        show_refusals(fleet)
+        show_calls(fleet)
+        if options.kill_one:
+            show_death(fleet)
+        show_explanation(fleet)
+        stop_everything(fleet)
+    say("done: every request was answered once")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/utils/harness/fleet.py
@@ -0,0 +1,309 @@
+"""Two fleets with clashing names: stand-ins of the platform, backend servers, and entry VMs."""
+
+import hashlib
+import json
+import os
+import shutil
+import tempfile
+import uuid
+import time
+
+from harness.processes import Process, call, wait_until
+
+VM_KEY = "the secret of all test VMs"
+SESSION_SECRET = "the secret of all test sessions"
+OPERATOR_KEY = "operator-key-of-the-tests"
+KOVACIC_KEY = "kovacic-front-key"
+KOVACIC_SMALL_KEY = "kovacic-small-key"
+COLOMBES_KEY = "colombes-front-key"
+
+
+def key_hash(key):
+    """The form in which keys stand in patches: BLAKE2b with 32 bytes."""
+    return hashlib.blake2b(key.encode(), digest_size=32).hexdigest()
+
+
+def new_key():
+    """An idempotency key that shows its age: a UUID of version 7."""
+    milliseconds = int(time.time() * 1000)
+    value = (milliseconds << 80) | (uuid.uuid4().int & ((1 << 80) - 1))
+    value = (value & ~(0xF << 76)) | (0x7 << 76)
+    value = (value & ~(0x3 << 62)) | (0x2 << 62)
+    return str(uuid.UUID(int=value))
+
+
+def fleet_operations(fleet, zones, chat_service, plain_service, methods, accounts):
+    """The operations that set one fleet up. The models, zones and accounts of the two fleets share their names."""
+    operations = [{"op": "put_fleet", "fleet": fleet}]
+    for zone in zones:
+        operations.append({"op": "put_zone", "fleet": fleet, "zone": zone, "region": "home"})
+    operations += [
+        {
+            "op": "put_model",
+            "fleet": fleet,
+            "model": "small",
+            "versions": {"1": {"share": 1.0, "cost_per_1000_tokens": 1}},
+        },
+        {
+            "op": "put_model",
+            "fleet": fleet,
+            "model": "large",
+            "versions": {"1": {"share": 1.0, "cost_per_1000_tokens": 8}},
+        },
+        {"op": "put_class", "fleet": fleet, "class": "lookup", "deadline_ms": 20000, "priority": 3},
+        {"op": "put_class", "fleet": fleet, "class": "draft", "deadline_ms": 600000, "may_hold": True},
+        {
+            "op": "put_service",
+            "fleet": fleet,
+            "service": chat_service,
+            "kind": "chat",
+            "models": ["small", "large"],
+            "default_class": "lookup",
+        },
+        {
+            "op": "put_service",
+            "fleet": fleet,
+            "service": plain_service,
+            "kind": "plain",
+            "methods": {name: {"idempotent": idempotent} for name, idempotent in methods.items()},
+        },
+    ]
+    for name, key, models in accounts:
+        operations.append(
+            {
+                "op": "put_account",
+                "fleet": fleet,
+                "account": name,
+                "key_hashes": [key_hash(key)],
+                "models": {model: [] for model in models},
+                "services": [chat_service, plain_service],
+            }
+        )
+    return operations
+
+
+def two_fleets_operations():
+    return fleet_operations(
+        "kovacic",
+        ["centre", "north"],
+        "savjetnik",
+        "narudzbe",
+        {"look_up": True, "book": False},
+        [("front", KOVACIC_KEY, ["small", "large"]), ("small", KOVACIC_SMALL_KEY, ["small"])],
+    ) + fleet_operations(
+        "colombes",
+        ["centre"],
+        "assistant-colombe",
+        "reservations",
+        {"check": True, "confirm": False},
+        [("front", COLOMBES_KEY, ["small", "large"])],
+    )
+
+
+class Fleet:
+    """Everything that one run starts. Use it as a context: all processes end with it."""
+
+    def __init__(self, build, keep=False):
+        self.bin = os.path.join(os.path.abspath(build), "bin")
+        self.folder = tempfile.mkdtemp(prefix="agatespar-")
+        self.keep = keep
+        self.processes = {}
+        self.platform = {}
+        self.vms = []
+        self.daemons = {}
+        self.http = {}
+        self.peer = {}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, value, trace):
+        if kind is not None:
+            self.print_logs()
+        for process in self.processes.values():
+            process.resume()
+            process.kill()
+        if not self.keep:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def print_logs(self):
+        for name, process in self.processes.items():
+            print(f"--- {name} ({'running' if process.running() else process.child.returncode})")
+            print("\n".join(process.read_log().splitlines()[-15:]))
+
+    def start(self, name, program, arguments, environment=None):
+        port_file = os.path.join(self.folder, name + ".port")
+        command = [os.path.join(self.bin, program), *arguments, "--port-file=" + port_file]
+        process = Process(name, command, self.folder, environment)
+        self.processes[name] = process
+        return process
+
+    def start_standin(self, name, role, *arguments):
+        """Starts a stand-in and returns its address."""
+        process = self.start(name, "agatespar-standin", ["--role=" + role, *arguments])
+        ports = process.read_ports()
+        self.platform[name] = "127.0.0.1:" + str(ports)
+        return self.platform[name]
+
+    def start_platform(self, *log_arguments):
+        self.start_standin("log", "log", *log_arguments)
+        self.start_standin("vms", "vms")
+        self.start_standin("rating", "rating")
+        self.start_standin("weights", "weights")
+
+    def start_engine(self, fleet, zone, name, versions, *arguments, slots=8, cold_slots=2):
+        """Starts a warm engine and puts it on the VM list."""
+        address = self.start_standin(
+            f"{fleet}-{name}",
+            "engine",
+            f"--fleet={fleet}",
+            f"--zone={zone}",
+            f"--name={name}",
+            f"--versions={versions}",
+            f"--slots={slots}",
+            f"--cold-slots={cold_slots}",
+            *(arguments or ("--warm",)),
+        )
+        self.list_vm(fleet, zone, name, "engine", "http://" + address, slots=slots, cold_slots=cold_slots)
+
+    def start_plain(self, fleet, zone, name, service, *arguments, fences=False):
+        flags = ["--fences"] if fences else []
+        address = self.start_standin(
+            f"{fleet}-{name}", "plain", f"--fleet={fleet}", f"--zone={zone}", f"--name={name}", *flags, *arguments
+        )
+        self.list_vm(fleet, zone, name, "plain", "http://" + address, service=service, fences=fences)
+
+    def list_vm(self, fleet, zone, name, kind, address, service="", slots=8, cold_slots=8, fences=False):
+        self.vms.append(
+            {
+                "name": name,
+                "kind": kind,
+                "fleet": fleet,
+                "zone": zone,
+                "region": "home",
+                "address": address,
+                "service": service,
+                "state": "live",
+                "cold_slots": cold_slots,
+                "slots": slots,
+                "fences": fences,
+            }
+        )
+        self.publish_vms()
+
+    def publish_vms(self):
+        call(self.platform["vms"], "POST", "/admin/vms", {"vms": self.vms})
+
+    def start_daemon(self, fleet, zone, name, *arguments, **extra_environment):
+        """Starts an entry VM and puts it on the VM list."""
+        environment = {
+            "AGATESPAR_VM_KEY": VM_KEY,
+            "AGATESPAR_SESSION_SECRET": SESSION_SECRET,
+            "AGATESPAR_OPERATOR_KEY_HASHES": key_hash(OPERATOR_KEY),
+            **extra_environment,
+        }
+        flags = [
+            "--listen=127.0.0.1:0",
+            "--peer-listen=127.0.0.1:0",
+            f"--zone={fleet}/{zone}",
+            "--region=home",
+            "--log-url=http://" + self.platform["log"],
+            "--vm-list-url=http://" + self.platform["vms"],
+            "--rating-url=http://" + self.platform["rating"],
+            "--weight-store-url=http://" + self.platform["weights"],
+            "--notice-time=0.3",
+            *arguments,
+        ]
+        process = self.start(name, "agatespard", flags, environment)
+        ports = process.read_ports()
+        self.daemons[name] = process
+        self.http[name] = ports["http"]
+        self.peer[name] = ports["peer"]
+        self.list_vm(fleet, zone, name, "entry", ports["peer"])
+        return ports["http"]
+
+    def forget_daemon(self, name):
+        """Takes an ended entry VM off the VM list."""
+        self.vms = [entry for entry in self.vms if not (entry["kind"] == "entry" and entry["name"] == name)]
+        self.publish_vms()
+        for table in (self.daemons, self.http, self.peer):
+            table.pop(name, None)
+
+    def wait_ready(self, names=None):
+        for name in names or list(self.daemons):
+            wait_until(lambda: self.is_ready(name), name + " to be ready")
+
+    def is_ready(self, name):
+        try:
+            return call(self.http[name], "GET", "/readyz").status == 200
+        except OSError:
+            return False
+
+    def status(self, name):
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY}
+        return call(self.http[name], "GET", "/operator/status", headers=headers).json()
+
+    def explain(self, name, request):
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY}
+        return call(self.http[name], "GET", "/operator/explain/" + request, headers=headers)
+
+    def patch(self, operations, base, patch_id=None):
+        """Submits a patch with agatesparctl and returns its exit code and output."""
+        import subprocess
+
+        document = {
+            "patch_id": patch_id or str(uuid.uuid4()),
+            "base": base,
+            "author": "tests",
+            "rules": 1,
+            "operations": operations,
+        }
+        path = os.path.join(self.folder, document["patch_id"] + ".json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(document, file)
+        return self.control("patch", path)
+
+    def control(self, *arguments):
+        """Runs agatesparctl and returns its exit code and output."""
+        import subprocess
+
+        command = [os.path.join(self.bin, "agatesparctl"), *arguments, "--log=http://" + self.platform["log"]]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=120)
+        return done.returncode, done.stdout + done.stderr
+
+    def wait_config(self, number, names=None):
+        for name in names or list(self.daemons):
+            wait_until(lambda: self.status(name)["config"]["number"] >= number, f"number {number} on {name}")
+
+    def wait_servers(self, name, count):
+        """Waits until a daemon sees healthy servers with a limit."""
+
+        def usable():
+            servers = self.status(name)["servers"]
+            return sum(1 for server in servers if server["healthy"] and server["limit"] > 0) >= count
+
+        wait_until(usable, f"{count} usable servers on {name}")
+
+    def chat(self, name, prompt, key=KOVACIC_KEY, target="savjetnik", **fields):
+        body = {"model": target, "messages": [{"role": "user", "content": prompt}], **fields}
+        return call(
+            self.http[name], "POST", "/v1/chat/completions", body, headers={"Authorization": "Bearer " + key}
+        )
+
+    def service(self, name, path, body, key=KOVACIC_KEY, idempotency_key=None, method="POST", timeout=60):
+        headers = {"Authorization": "Bearer " + key}
+        if idempotency_key:
+            headers["Idempotency-Key"] = idempotency_key
+        return call(self.http[name], method, "/v1/services/" + path, body, headers, timeout)
+
+    def faults(self, standin, **fields):
+        return call(self.platform[standin], "POST", "/admin/faults", fields)
+
+    def counts(self, standin):
+        return call(self.platform[standin], "GET", "/admin/counts").json()
+
+
+def is_whole(answer, prompt):
+    """Whether a chat answer is the whole answer to the prompt: the stand-in's answers start and end with a bracket."""
+    text = answer.json()["choices"][0]["message"]["content"]
+    return text.startswith("[") and text.endswith(prompt[-64:] + "]")
