Kill a VM at each step from claim to bill, and gate the ledger's memory

A death at each step leaves at most one run and exactly one bill for what was answered; a repeat that gets the stored outcome bills under the first id, and the fold drops the second. A refusal of a key that is dated in the future no longer says not_run for a possible repeat: another VM's faster clock may have let it run.

--- a/include/agatespar/ledger/claim_owner.h
+++ b/include/agatespar/ledger/claim_owner.h
@@ -80,6 +80,7 @@
     bool snapshot_under_way_{false};
     steady_time next_append_;
     steady_time last_snapshot_;
+    steady_time next_forget_;
     log_offset snapshot_next_{1};
     claim_owner_counters counters_;
     /// Expires with the object, for callbacks that come later.
--- a/lib/ledger/claim_client.cpp
+++ b/lib/ledger/claim_client.cpp
@@ -49,7 +49,10 @@
 {
     const wall_time now = loop_.time().wall_now();
     if (const auto age = check_key_age(order.key_time, now, settings_); !age) {
-        loop_.post([callback = std::move(callback), problem = age.error()] { callback(tl::make_unexpected(problem)); });
+        error problem = age.error();
+        // Another VM, whose clock is ahead, may have accepted an earlier submission of the key.
+        problem.ran = problem.code == error_code::invalid_argument ? unproven(order.sent) : problem.ran;
+        loop_.post([callback = std::move(callback), problem] { callback(tl::make_unexpected(problem)); });
         return;
     }
     claim_record record;
--- a/lib/ledger/claim_owner.cpp
+++ b/lib/ledger/claim_owner.cpp
@@ -10,6 +10,8 @@
 
 // The next try to read after the log did not answer.
 static constexpr std::chrono::milliseconds read_retry_interval{250};
+// Old keys are refused by their age; they are only looked for to free their memory.
+static constexpr std::chrono::seconds forget_interval{10};
 
 struct claim_owner::waiting_request {
     ledger_operation operation{ledger_operation::look_up};
@@ -63,7 +65,10 @@
 void claim_owner::tick()
 {
     drop_given_up();
-    forget_old_keys(reader_->state(), loop_.time().wall_now(), settings_);
+    if (loop_.time().now() >= next_forget_) {
+        next_forget_ = loop_.time().now() + forget_interval;
+        forget_old_keys(reader_->state(), loop_.time().wall_now(), settings_);
+    }
     reader_->catch_up();
     later(settings_.tail_interval, [](claim_owner& self) { self.tick(); });
 }
--- /dev/null
+++ b/unittests/ledger/request_steps_test.cpp
@@ -0,0 +1,112 @@
+// Kills a VM at each step of a non-idempotent request, from the claim to the bill, and sends the key again elsewhere.
+#include "ledger_fixture.h"
+#include "usage_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+enum class death_step {
+    before_claim,
+    after_claim,
+    after_dispatch,
+    after_outcome,
+    after_hold,
+    after_bill,
+    never,
+};
+
+/// Three VMs that claim, run, record and bill; the ledger and billing each have their own loop, advanced together.
+struct request_world {
+    void advance(std::chrono::milliseconds step)
+    {
+        ledger.loop.advance(step);
+        usage.loop.advance(step);
+    }
+
+    void kill(std::size_t vm)
+    {
+        ledger.kill(vm);
+        usage.kill(boot_id{vm + 1});
+    }
+
+    void bill(std::size_t vm, const request_id& request)
+    {
+        REQUIRE(usage.bill(boot_id{vm + 1}, request.value(), true));
+        advance(10ms);
+        answered = answered || usage.answered[request.value()] > 0;
+    }
+
+    /// Serves the key on a VM that dies at a step.
+    void serve(std::size_t vm, const claim_order& order, death_step dies)
+    {
+        if (dies == death_step::before_claim) {
+            return kill(vm);
+        }
+        const auto result = ledger.claim(vm, order);
+        if (dies == death_step::after_claim) {
+            return kill(vm);
+        }
+        if (!result) {
+            told_not_run = told_not_run || result.error().ran == run_state::not_run;
+            return;
+        }
+        if (const auto* repeat = std::get_if<stored_outcome>(&*result)) {
+            return bill(vm, repeat->request);
+        }
+        const granted_claim claim = granted(result);
+        REQUIRE(ledger.vms[vm]->client->begin_dispatch(claim));
+        ++runs;
+        if (dies == death_step::after_dispatch) {
+            return kill(vm);
+        }
+        ledger.vms[vm]->client->record_outcome(claim, {claim.request, 201, "", "booked", false});
+        advance(500ms);
+        if (dies == death_step::after_outcome) {
+            return kill(vm);
+        }
+        bill(vm, claim.request);
+        if (dies == death_step::after_bill) {
+            advance(6s);
+        }
+        if (dies != death_step::never) {
+            kill(vm);
+        }
+    }
+
+    ledger_fixture ledger{3};
+    usage_world usage{3};
+    int runs{0};
+    bool answered{false};
+    bool told_not_run{false};
+};
+
+} // namespace
+
+SCENARIO("a VM's death at any step neither doubles a run nor loses or doubles a bill")
+{
+    for (int step = 0; step <= static_cast<int>(death_step::never); ++step) {
+        request_world world;
+        world.ledger.first_owner = 2;
+        // Appends of bills wait, so that a death after the hold finds the bill on the holder alone.
+        world.usage.log.set_faults({true, 0.0, 0ms});
+        if (step == static_cast<int>(death_step::after_bill)) {
+            world.usage.log.set_faults({});
+        }
+        const claim_order order = world.ledger.order("k");
+        world.serve(0, order, static_cast<death_step>(step));
+        world.serve(1, order, death_step::never);
+        world.usage.log.set_faults({});
+        world.advance(5min);
+        INFO("step " << step);
+        CHECK(world.runs <= 1);
+        CHECK((!world.told_not_run || world.runs == 0));
+        CHECK(world.usage.billed() == (world.answered ? 1 : 0));
+        const bool lost_before_outcome =
+            step == static_cast<int>(death_step::after_claim) || step == static_cast<int>(death_step::after_dispatch);
+        CHECK(world.answered != lost_before_outcome);
+    }
+}
