Wake waiting reads of the memory log, and limit its appends

A waiting read looked at its stream every 5 ms, which costs the log's stand-in 200 timers a second for each reader; an append now wakes the readers of its stream. The log can be held to a number of appends a second, as the platform's is.

--- a/include/agatespar/platform/memory_log.h
+++ b/include/agatespar/platform/memory_log.h
@@ -20,6 +20,8 @@
     double lost_answers{0.0};
     /// Every answer takes this long.
     std::chrono::milliseconds delay{0};
+    /// Append calls that take effect in a second; more wait their turn. Zero for no limit.
+    std::uint32_t appends_per_second{0};
 };
 
 /// Keeps streams in memory and serves the log service's operations on an event loop.
@@ -37,7 +39,8 @@
     /// Drops all records of a stream before an offset.
     void trim(const stream_name& name, log_offset first_retained);
 
-    void set_faults(const log_faults& faults) { faults_ = faults; }
+    /// Reads that wait fail at once when the log goes down.
+    void set_faults(const log_faults& faults);
     const log_faults& faults() const { return faults_; }
     /// @return the number of append calls that reached the log.
     std::uint64_t append_calls() const { return append_calls_; }
@@ -48,14 +51,30 @@
         std::deque<std::string> records;
     };
 
+    struct waiting_read {
+        read_request request;
+        read_callback callback;
+        timer_id timeout;
+    };
+
     void append(const append_request& request, append_callback callback);
-    void read(read_request request, read_callback callback, std::chrono::milliseconds waited);
+    void take_effect(const append_request& request, append_callback callback);
+    duration wait_for_turn();
+    void read(const read_request& request, read_callback callback);
+    void wait(const read_request& request, read_callback callback);
+    void wake(const stream_name& name);
+    void end_wait(std::uint64_t waiting);
+    void answer(const read_request& request, read_callback callback);
+    void refuse(std::function<void(error)> callback);
 
     event_loop& loop_;
     std::mt19937_64 random_;
     log_faults faults_;
     std::uint64_t append_calls_{0};
     std::map<stream_name, stream> streams_;
+    steady_time next_turn_;
+    std::uint64_t last_waiting_{0};
+    std::map<std::uint64_t, waiting_read> waiting_;
 };
 
 } // namespace agatespar
--- a/lib/platform/memory_log.cpp
+++ b/lib/platform/memory_log.cpp
@@ -2,12 +2,10 @@
 #include <agatespar/platform/memory_log.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace agatespar {
 
-// A waiting read looks again this often; the loop's clock decides, so tests stay deterministic.
-static constexpr std::chrono::milliseconds read_poll_interval{5};
-
 static error unavailable_error()
 {
     return error{error_code::unavailable, "the log service does not answer", run_state::not_run, std::nullopt};
@@ -19,8 +17,8 @@
     operations.append = [this](const append_request& request, append_callback callback) {
         append(request, std::move(callback));
     };
-    operations.read = [this](read_request request, read_callback callback) {
-        read(std::move(request), std::move(callback), std::chrono::milliseconds::zero());
+    operations.read = [this](const read_request& request, read_callback callback) {
+        read(request, std::move(callback));
     };
     return operations;
 }
@@ -30,6 +28,7 @@
     stream& target = streams_[request.stream];
     const log_offset first{target.first.value() + target.records.size()};
     target.records.insert(target.records.end(), request.payloads.begin(), request.payloads.end());
+    wake(request.stream);
     return first;
 }
 
@@ -58,13 +57,47 @@
     }
 }
 
+void memory_log::set_faults(const log_faults& faults)
+{
+    faults_ = faults;
+    while (faults_.down && !waiting_.empty()) {
+        end_wait(waiting_.begin()->first);
+    }
+}
+
+void memory_log::refuse(std::function<void(error)> callback)
+{
+    loop_.schedule(faults_.delay, [callback = std::move(callback)] { callback(unavailable_error()); });
+}
+
+// Returns the time until the next append may take effect, and counts it.
+duration memory_log::wait_for_turn()
+{
+    if (faults_.appends_per_second == 0) {
+        return duration::zero();
+    }
+    const steady_time now = loop_.time().now();
+    const steady_time turn = std::max(now, next_turn_);
+    next_turn_ = turn + duration{std::chrono::seconds{1}} / faults_.appends_per_second;
+    return turn - now;
+}
+
 void memory_log::append(const append_request& request, append_callback callback)
 {
     if (faults_.down) {
-        loop_.schedule(faults_.delay,
-                       [callback = std::move(callback)] { callback(tl::make_unexpected(unavailable_error())); });
+        refuse([callback = std::move(callback)](error reason) { callback(tl::make_unexpected(std::move(reason))); });
         return;
     }
+    const duration wait = wait_for_turn();
+    if (wait == duration::zero()) {
+        take_effect(request, std::move(callback));
+        return;
+    }
+    loop_.schedule(wait, [this, request, callback = std::move(callback)] { take_effect(request, callback); });
+}
+
+void memory_log::take_effect(const append_request& request, append_callback callback)
+{
     ++append_calls_;
     const log_offset first = append_now(request);
     const bool lost = std::bernoulli_distribution{faults_.lost_answers}(random_);
@@ -77,20 +110,52 @@
     });
 }
 
-void memory_log::read(read_request request, read_callback callback, std::chrono::milliseconds waited)
+void memory_log::read(const read_request& request, read_callback callback)
 {
     if (faults_.down) {
-        loop_.schedule(faults_.delay,
-                       [callback = std::move(callback)] { callback(tl::make_unexpected(unavailable_error())); });
+        refuse([callback = std::move(callback)](error reason) { callback(tl::make_unexpected(std::move(reason))); });
         return;
     }
-    read_batch batch = read_now(request);
-    if (batch.records.empty() && waited < request.wait) {
-        loop_.schedule(read_poll_interval, [this, request = std::move(request), callback = std::move(callback),
-                                            waited] { read(request, callback, waited + read_poll_interval); });
+    if (request.wait > std::chrono::milliseconds::zero() && read_now(request).records.empty()) {
+        wait(request, std::move(callback));
         return;
     }
-    loop_.schedule(faults_.delay, [callback = std::move(callback), batch = std::move(batch)]() mutable {
+    answer(request, std::move(callback));
+}
+
+void memory_log::wait(const read_request& request, read_callback callback)
+{
+    const std::uint64_t waiting = ++last_waiting_;
+    const timer_id timeout = loop_.schedule(request.wait, [this, waiting] { end_wait(waiting); });
+    waiting_.emplace(waiting, waiting_read{request, std::move(callback), timeout});
+}
+
+// Answers the reads that wait for a stream and now have something to read.
+void memory_log::wake(const stream_name& name)
+{
+    std::vector<std::uint64_t> ready;
+    for (const auto& [waiting, read] : waiting_) {
+        if (read.request.stream == name && !read_now(read.request).records.empty()) {
+            ready.push_back(waiting);
+        }
+    }
+    for (const std::uint64_t waiting : ready) {
+        end_wait(waiting);
+    }
+}
+
+void memory_log::end_wait(std::uint64_t waiting)
+{
+    auto ended = waiting_.extract(waiting);
+    loop_.cancel(ended.mapped().timeout);
+    read_request request = std::move(ended.mapped().request);
+    request.wait = std::chrono::milliseconds::zero();
+    read(request, std::move(ended.mapped().callback));
+}
+
+void memory_log::answer(const read_request& request, read_callback callback)
+{
+    loop_.schedule(faults_.delay, [callback = std::move(callback), batch = read_now(request)]() mutable {
         callback(std::move(batch));
     });
 }
--- a/tools/agatespar-standin/log_role.cpp
+++ b/tools/agatespar-standin/log_role.cpp
@@ -3,6 +3,8 @@
 
 #include <agatespar/platform/memory_log.h>
 
+#include <set>
+
 namespace agatespar::standin {
 
 namespace {
@@ -12,6 +14,9 @@
     log_role(event_loop& loop, const role_settings& settings)
         : log_(loop, settings.seed), service_(log_.service()), retained_(settings.retained_records)
     {
+        log_faults limits;
+        limits.appends_per_second = settings.appends_per_second;
+        log_.set_faults(limits);
     }
 
     void handle(const std::shared_ptr<exchange>& call) override;
@@ -21,12 +26,12 @@
 private:
     void append(const std::shared_ptr<exchange>& call, const stream_name& stream);
     void read(const std::shared_ptr<exchange>& call, const stream_name& stream);
-    void trim(const stream_name& stream, log_offset next);
+    void trim(const stream_name& stream);
 
     memory_log log_;
     log_service service_;
     std::uint64_t retained_;
-    std::map<std::string, std::uint64_t> records_;
+    std::set<stream_name> streams_;
 };
 
 std::string decode(const std::string& text)
@@ -70,9 +75,10 @@
     for (const auto& payload : document.at("payloads")) {
         request.payloads.push_back(decode(payload.get<std::string>()));
     }
-    const std::uint64_t count = request.payloads.size();
+    streams_.insert(stream);
     const bool down = log_.faults().down;
     service_.append(std::move(request), [this, call, stream, down](const outcome<append_receipt>& receipt) {
+        trim(stream);
         if (receipt) {
             call->answer(200, {{"first", receipt->first.value()}});
         }
@@ -84,14 +90,11 @@
             call->drop();
         }
     });
-    if (!down) {
-        records_[stream.value()] += count;
-        trim(stream, log_.read_now({stream, log_offset{1}, 0}).next);
-    }
 }
 
-void log_role::trim(const stream_name& stream, log_offset next)
+void log_role::trim(const stream_name& stream)
 {
+    const log_offset next = log_.read_now({stream, log_offset{1}, 0}).next;
     if (retained_ != 0 && next.value() > retained_) {
         log_.trim(stream, log_offset{next.value() - retained_});
     }
@@ -122,6 +125,7 @@
     take_field(faults, "down", current.down);
     take_field(faults, "lost_answers", current.lost_answers);
     take_field(faults, "delay_ms", current.delay);
+    take_field(faults, "appends_per_second", current.appends_per_second);
     log_.set_faults(current);
     if (faults.contains("trim")) {
         const auto& trimmed = faults.at("trim");
@@ -132,7 +136,11 @@
 
 nlohmann::json log_role::counts() const
 {
-    return {{"append_calls", log_.append_calls()}, {"records", records_}};
+    nlohmann::json records = nlohmann::json::object();
+    for (const stream_name& stream : streams_) {
+        records[stream.value()] = log_.read_now({stream, log_offset{1}, 0}).next.value() - 1;
+    }
+    return {{"append_calls", log_.append_calls()}, {"records", std::move(records)}};
 }
 
 } // namespace
--- a/tools/agatespar-standin/main.cpp
+++ b/tools/agatespar-standin/main.cpp
@@ -42,6 +42,7 @@
   --load-ms=N             Time that an engine takes to load versions [default: 200].
   --report-lag-ms=N       Time between two load reports [default: 100].
   --retain=N              Records that a stream of the log keeps, 0 for all [default: 0].
+  --appends-per-second=N  Append calls that the log takes in a second, 0 for no limit [default: 0].
   --grants-per-second=N   Rate of the weight store [default: 2].
   --help                  Show this text.
 )";
@@ -97,6 +98,7 @@
     settings.load_time = std::chrono::milliseconds{number(given, "--load-ms")};
     settings.report_lag = std::chrono::milliseconds{std::max(1U, number(given, "--report-lag-ms"))};
     settings.retained_records = number(given, "--retain");
+    settings.appends_per_second = number(given, "--appends-per-second");
     settings.grants_per_second = std::max(1U, number(given, "--grants-per-second"));
     return settings;
 }
--- a/tools/agatespar-standin/role.h
+++ b/tools/agatespar-standin/role.h
@@ -35,6 +35,8 @@
     std::chrono::milliseconds report_lag{100};
     /// Records that a stream of the log keeps; zero keeps all.
     std::uint64_t retained_records{0};
+    /// Append calls that the log takes in a second; zero for no limit.
+    std::uint32_t appends_per_second{0};
     double grants_per_second{2.0};
 };
 
--- a/unittests/platform/memory_log_test.cpp
+++ b/unittests/platform/memory_log_test.cpp
@@ -49,13 +49,53 @@
     manual_event_loop loop;
     memory_log log{loop, 1};
     const log_service service = log.service();
-    std::optional<read_batch> batch;
-    service.read({stream_name{"s"}, log_offset{1}, 10, 1s},
-                 [&](const outcome<read_batch>& result) { batch = *result; });
+    std::optional<outcome<read_batch>> batch;
+    service.read({stream_name{"s"}, log_offset{1}, 10, 1s}, [&](const outcome<read_batch>& result) { batch = result; });
     loop.advance(500ms);
     CHECK(!batch);
-    log.append_now({stream_name{"s"}, {"x"}});
-    loop.advance(10ms);
-    REQUIRE(batch);
-    CHECK(batch->records.size() == 1);
+
+    WHEN("a record comes")
+    {
+        log.append_now({stream_name{"other"}, {"y"}});
+        loop.run_pending();
+        CHECK(!batch);
+        log.append_now({stream_name{"s"}, {"x"}});
+        loop.run_pending();
+        REQUIRE(batch);
+        CHECK(batch->value().records.size() == 1);
+    }
+    WHEN("none comes within the wait")
+    {
+        loop.advance(499ms);
+        CHECK(!batch);
+        loop.advance(1ms);
+        REQUIRE(batch);
+        CHECK(batch->value().records.empty());
+    }
+    WHEN("the log goes down meanwhile")
+    {
+        log.set_faults({.down = true, .lost_answers = 0.0, .delay = 0ms, .appends_per_second = 0});
+        loop.run_pending();
+        REQUIRE(batch);
+        CHECK(!batch->has_value());
+    }
+}
+
+SCENARIO("the log takes a limited number of appends a second")
+{
+    manual_event_loop loop;
+    memory_log log{loop, 1};
+    const log_service service = log.service();
+    log.set_faults({.down = false, .lost_answers = 0.0, .delay = 0ms, .appends_per_second = 100});
+    int receipts = 0;
+    for (int call = 0; call < 200; ++call) {
+        service.append({stream_name{"s"}, {"x"}}, [&](const outcome<append_receipt>& receipt) {
+            // Each append takes effect in its turn.
+            CHECK(receipt->first.value() == static_cast<std::uint64_t>(++receipts));
+        });
+    }
+    loop.advance(995ms);
+    CHECK(receipts == 100);
+    loop.advance(1s);
+    CHECK(receipts == 200);
 }
