--- a/unittests/config/config_reader_test.cpp
+++ b/unittests/config/config_reader_test.cpp
@@ -302,11 +302,24 @@
             CHECK(reader.counters().hash_mismatches == 2);
             CHECK(reader.current()->number == config_number{2});
         }
-        THEN("an older snapshot does not make the number fall")
+        THEN("a snapshot that contradicts its mark is not taken")
+        {
+            config_state wrong_mark = answer_pull(other, record_history{}, {log_offset{0}}, mark);
+            wrong_mark.mark.number = config_number{1};
+            reader.take_state(wrong_mark);
+            CHECK(reader.counters().states_refused == 1);
+            CHECK(reader.current()->number == config_number{2});
+        }
+    }
+    GIVEN("a snapshot of a smaller number that claims a later offset")
+    {
+        fold_state old;
+        fold(old, {log_offset{1}, format_patch(two_fleets_patch("p0"))});
+        old.covers = log_offset{100};
+        const config_mark mark{boot_id{9}, old.current->number, old.current->chain_hash, old.covers, true, 0};
+        reader.take_state(answer_pull(old, record_history{}, {log_offset{2}}, mark));
+        THEN("the number does not fall")
         {
-            config_state old = answer_pull(other, record_history{}, {log_offset{0}}, mark);
-            old.mark.number = config_number{1};
-            reader.take_state(old);
             CHECK(reader.counters().states_refused == 1);
             CHECK(reader.current()->number == config_number{2});
         }
