--- a/unittests/platform/test_server.h
+++ b/unittests/platform/test_server.h
@@ -18,6 +18,7 @@
 /// What a server got.
 struct received_request {
     std::string method;
+    /// Decoded; a raw_server shows how it was sent.
     std::string path;
     std::string query;
     std::vector<http_header> headers;
@@ -117,6 +118,8 @@
     std::string url() const { return "http://127.0.0.1:" + std::to_string(port_); }
 
     int connections{0};
+    /// The first bytes of the last request.
+    std::string received;
 
 private:
     static gboolean accept(GSocketService* /*service*/, GSocketConnection* connection, GObject* /*source*/,
@@ -127,12 +130,11 @@
         self->connections_.push_back(static_cast<GSocketConnection*>(g_object_ref(connection)));
         GInputStream* input = g_io_stream_get_input_stream(G_IO_STREAM(connection));
         g_input_stream_read_bytes_async(input, 4096, G_PRIORITY_DEFAULT, nullptr, &raw_server::answer,
-                                        new answer_job{self->bytes_, self->then_, connection});
+                                        new answer_job{self, connection});
         return TRUE;
     }
     struct answer_job {
-        std::string bytes;
-        then what;
+        raw_server* server;
         GSocketConnection* connection;
     };
     static void answer(GObject* source, GAsyncResult* result, gpointer data)
@@ -142,10 +144,14 @@
         if (request == nullptr) {
             return;
         }
+        raw_server& self = *job->server;
+        gsize size = 0;
+        const auto* bytes = static_cast<const char*>(g_bytes_get_data(request, &size));
+        self.received.assign(bytes, size);
         g_bytes_unref(request);
         GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(job->connection));
-        g_output_stream_write_all(output, job->bytes.data(), job->bytes.size(), nullptr, nullptr, nullptr);
-        if (job->what == then::close) {
+        g_output_stream_write_all(output, self.bytes_.data(), self.bytes_.size(), nullptr, nullptr, nullptr);
+        if (self.then_ == then::close) {
             g_io_stream_close(G_IO_STREAM(job->connection), nullptr, nullptr);
         }
     }
--- a/unittests/telemetry/metrics_test.cpp
+++ b/unittests/telemetry/metrics_test.cpp
@@ -20,6 +20,12 @@
     throw std::bad_alloc{};
 }
 
+void* operator new(std::size_t size, const std::nothrow_t& /*tag*/) noexcept
+{
+    ++allocations;
+    return std::malloc(size);
+}
+
 void operator delete(void* memory) noexcept
 {
     std::free(memory);
