Keep a request on its last resort across zones, so that none is refused

A request that was sent on to another zone for a stand-in version fell back to its first plan there and could be handed round until its deadline. It now keeps its last resort, and a queued one takes it when half of its time is gone.

--- a/benchmarks/policy/entry_vm.cpp
+++ b/benchmarks/policy/entry_vm.cpp
@@ -5,6 +5,7 @@
 #include <agatespar/routing/rollout.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace agatespar::bench {
@@ -210,6 +211,8 @@
     request->route.preferred = request->second_step ? request->plan.then : request->plan.first;
     if (world_.chosen().models == model_choice_rule::planned)
         request->route.fallback = planner_.strong_versions();
+    if (request->last_resort)
+        request->route.preferred |= request->route.fallback;
     outcome<decision> last;
     if (try_place(request, last))
         admission_.on_started(request->route.request_class, world_.now());
@@ -255,7 +258,7 @@
 {
     if (class_priority_[request_class] == 0)
         return 0;
-    return static_cast<int>(reserved_share * world_.setting().servers.front().slots + 0.5);
+    return static_cast<int>(std::lround(reserved_share * world_.setting().servers.front().slots));
 }
 
 /// @return whether a refusal may be overcome by waiting.
@@ -271,6 +274,7 @@
     if (request->route.fallback.none())
         return false;
     request->route.preferred = request->route.fallback;
+    request->last_resort = true;
     outcome<decision> last;
     return try_place(request, last);
 }
@@ -327,9 +331,11 @@
             continue;
         }
         outcome<decision> last;
-        const bool placed = try_place(request, last);
-        const bool hopeless =
-            !placed && last.error().code != error_code::overloaded && last.error().code != error_code::unavailable;
+        bool placed = try_place(request, last);
+        const bool hopeless = !placed && !is_for_lack_of_room(last.error());
+        const duration left = request->deadline - world_.now();
+        if (!placed && !hopeless && left < last_resort_share * (request->deadline - request->arrived))
+            placed = place_on_fallback(request);
         if (!placed && !hopeless && world_.now() < request->deadline) {
             failing_class = item->first.first;
             ++failures;
--- a/benchmarks/policy/gates_safety.cpp
+++ b/benchmarks/policy/gates_safety.cpp
@@ -52,6 +52,7 @@
 static std::vector<double> answered_shares(const std::vector<std::map<std::string, double>>& runs)
 {
     std::vector<double> values;
+    values.reserve(runs.size());
     for (const auto& run : runs)
         values.push_back(run.at("answered") / run.at("fresh"));
     return values;
--- a/benchmarks/policy/world.h
+++ b/benchmarks/policy/world.h
@@ -49,6 +49,8 @@
     serving_plan plan;
     bool planned{false};
     bool second_step{false};
+    /// It waited so long that any version that may stand in will do.
+    bool last_resort{false};
     int attempts{0};
     int permit_denials{0};
     /// An engine took it up.
