--- a/include/agatespar/ledger/ledger_records.h
+++ b/include/agatespar/ledger/ledger_records.h
@@ -1,6 +1,7 @@
 // The records of the ledger streams, which say who may run a non-idempotent request and how it ended.
 #pragma once
 
+#include <agatespar/ledger/ledger_settings.h>
 #include <agatespar/support/clock.h>
 #include <agatespar/support/ids.h>
 #include <agatespar/support/outcome.h>
@@ -16,8 +17,6 @@
 
 namespace agatespar {
 
-/// The fixed number of ledger streams; changing it would move keys between streams.
-inline constexpr std::uint32_t ledger_partition_count = 16;
 /// A body above this size is not kept; a repeat of the key then gets the status alone.
 inline constexpr std::size_t max_stored_body_bytes = 16 * 1024;
 
--- a/lib/ledger/key_age.cpp
+++ b/lib/ledger/key_age.cpp
@@ -97,8 +97,11 @@
     if (const auto date = rfc3339_time(stated)) {
         return *date;
     }
-    return failure(error_code::invalid_argument,
-                   "the idempotency key shows no age: send a version 7 UUID, or the key's time beside it");
+    // The same key may have been sent, and run, with its time beside it.
+    return tl::make_unexpected(
+        error{error_code::invalid_argument,
+              "the idempotency key shows no age: send a version 7 UUID, or the key's time beside it",
+              run_state::outcome_unknown, std::nullopt});
 }
 
 outcome<void> check_key_age(wall_time key_time, wall_time now, const ledger_settings& settings)
