--- a/benchmarks/policy/world.h
+++ b/benchmarks/policy/world.h
@@ -92,7 +92,9 @@
     /// @return whether the rating service rates an answer good.
     bool rate(bool truly_good);
     bool is_bad(version_index version) const { return good_factor_[version.value()] < 1; }
-    /// The same for the dearest model, over its versions by their shares.
+    /// @return whether a version is of the dearest model.
+    bool is_strong(version_index version) const;
+    /// @return the probability of a good answer of the dearest model, over its versions by their shares.
     double strong_probability(std::size_t request_class) const;
     /// Answers the caller. @param version gave the answer.
     void answered(const request_pointer& request, version_index version, bool truly_good);
--- a/unittests/cascade/planner_test.cpp
+++ b/unittests/cascade/planner_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the cheapest mix and of the plans that follow it.
 #include <agatespar/cascade/mix.h>
 #include <agatespar/cascade/planner.h>
+#include <agatespar/cascade/traffic.h>
 #include <agatespar/support/hash.h>
 
 #include <catch2/catch.hpp>
@@ -126,3 +127,18 @@
     CHECK(quality.truly_good(version_index{0}, class_index{0}) == Approx(0.8).margin(0.002));
     CHECK(cascade_good(0.5, 0.9, {.false_good = 0.1, .false_bad = 0.1}) == Approx(0.45 + 0.5 * 0.9));
 }
+
+SCENARIO("traffic counts merge by maximum")
+{
+    traffic_counts here{boot_id{1}, 1};
+    traffic_counts there{boot_id{2}, 1};
+    const class_index only{0};
+    CHECK(here.mean_tokens(only, 500) == 500);
+    here.record(only, 100, 50);
+    there.record(only, 300, 150);
+    for (int i = 0; i < 3; ++i)
+        here.merge(boot_id{2}, there.own_row());
+    CHECK(here.total(only).answers == 2);
+    CHECK(here.mean_tokens(only, 500) == 300);
+    CHECK(here.mean_output_tokens(only, 500) == 100);
+}
