Drive the control state machines of a whole fleet, and keep warm permits for the next request

A permit was used once, so each request cost three messages. A warm server's permit now serves the next request for a second after one ended under it, and is void as soon as its owner changes, if only for a moment, or its holder was paused. An owner keeps counting permits of an earlier term of its own: a schedule found that their holders may not have noticed the gap.

--- a/include/agatespar/backend/permit.h
+++ b/include/agatespar/backend/permit.h
@@ -28,7 +28,7 @@
     bool alone{false};
     /// Gives the slot back at the end, because the server is cold.
     bool single_use{false};
-    /// Requests that ended well under it before; a warm server's permit serves until its lifetime ends.
+    /// Requests that ended well under it before.
     std::uint16_t good_uses{0};
 };
 
--- a/include/agatespar/backend/permit_holder.h
+++ b/include/agatespar/backend/permit_holder.h
@@ -26,6 +26,12 @@
     std::chrono::milliseconds rate_window{4000};
     /// Permits are kept in store for the requests that are expected within this time.
     std::chrono::milliseconds store_horizon{1000};
+    /// How long a warm server's permit may serve the next request after one ended under it.
+    std::chrono::milliseconds reuse_time{1000};
+    /// Requests that one permit serves at most, so that its owner hears of their results.
+    std::uint16_t max_uses{4};
+    /// A longer gap between calls means that this process was paused.
+    std::chrono::milliseconds pause_threshold{1500};
     /// A server that was not used for so long is forgotten.
     std::chrono::milliseconds forget_after{60'000};
 };
@@ -61,12 +67,23 @@
     }
 
     /// Takes a permit from the store. Allocates nothing. @return nothing if none is held.
-    std::optional<permit> try_acquire(server_key server, steady_time now);
+    /// @param owner the server's owner by this VM's view; permits of others are void.
+    std::optional<permit> try_acquire(server_key server, boot_id owner, steady_time now);
     /// Asks a server's owner for a permit. @param alone for a request that must run with nothing else.
     /// @param callback called later, with the permit or the refusal, never from within this call.
     void request_permit(server_key server, boot_id owner, bool alone, steady_time now, permit_callback callback);
-    /// Gives a permit back, once. @param result how its work ended, or `unused`.
-    void release(const permit& used, const permit_result& result, steady_time now);
+    /// Gives a permit back, once, or keeps it for the next request to its server.
+    /// @param result how its work ended, or `unused`. @param reusable false if its owner is not the owner any more, or
+    /// the zone is out of service.
+    void release(const permit& used, const permit_result& result, bool reusable, steady_time now);
+    /// Makes the permits of a server void, because its owner changed, if only for a moment.
+    void void_server(server_key server);
+    /// Makes all permits void: no further request starts under them.
+    void void_all();
+    /// @return the permits in store for a server, which a decision may prefer as they cost no message.
+    std::uint32_t held(server_key server, steady_time now) const;
+    /// @return a server for which a permit is in store, if there is one.
+    std::optional<server_key> any_held(steady_time now) const;
     /// Asks for permits in store if the server is used often enough. To be called after an acquire.
     void refill(server_key server, boot_id owner, steady_time now);
 
@@ -110,6 +127,9 @@
     void flush(server_key server, held_server& held);
     void give_back(held_server& held, const permit& given, const permit_result& result) const;
     void drop_store(held_server& held, boot_id owner) const;
+    static void end_reuse(held_server& held, boot_id owner);
+    void void_permits(held_server& held) const;
+    void notice_pause(steady_time now);
     void drop_lapsed(held_server& held, steady_time now);
     void take_grant(held_server& held, boot_id owner, const permit_grant_message& grant, const asked_round& asked,
                     steady_time now, std::vector<permit>& permits);
@@ -121,6 +141,7 @@
     std::unordered_map<server_key, held_server> servers_;
     permit_holder_counters counters_;
     std::uint32_t last_round_{0};
+    std::optional<steady_time> last_call_;
 };
 
 } // namespace agatespar
--- a/include/agatespar/backend/permit_owner.h
+++ b/include/agatespar/backend/permit_owner.h
@@ -107,7 +107,7 @@
 
     std::vector<owned_server_status> status() const;
     std::optional<owned_server_status> status(server_key server) const;
-    bool owns(server_key server) const { return servers_.count(server) > 0; }
+    bool owns(server_key server) const { return status(server).has_value(); }
     const permit_owner_counters& counters() const { return counters_; }
 
 private:
@@ -121,6 +121,8 @@
     };
     struct owned_server {
         backend_server server;
+        /// A server that was owned before keeps its entry until all its permits are given back: it may return.
+        bool owned{true};
         server_limit limit;
         /// Counts how often the server turned cold: results of work let in before say nothing about it any more.
         std::uint32_t epoch{0};
--- a/include/agatespar/backend/permit_service.h
+++ b/include/agatespar/backend/permit_service.h
@@ -42,7 +42,7 @@
     void on_member_gone(boot_id member, steady_time now) { owner_.on_holder_gone(member, now); }
 
     /// Others believed this VM dead, so that its servers may have been given to others: it takes them over anew.
-    void on_presumed_dead(steady_time now) { owner_.start_over(now); }
+    void on_presumed_dead(steady_time now);
 
     /// Takes a permit that is held already. Allocates only when it sends a request to refill the store.
     std::optional<permit> try_acquire(server_key server, steady_time now);
--- /dev/null
+++ b/include/agatespar/membership/zone_directory.h
@@ -0,0 +1,85 @@
+// What the zones tell each other: a summary, sent by a few delegates and spread in the zone by gossip.
+#pragma once
+
+#include <agatespar/membership/membership.h>
+#include <agatespar/membership/messages.h>
+#include <agatespar/support/clock.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string_view>
+#include <vector>
+
+namespace agatespar {
+
+struct zone_directory_settings {
+    zone_name zone;
+    region_name region;
+    /// How often each delegate sends to each other zone.
+    std::chrono::milliseconds summary_interval{4000};
+    /// How often a summary without news is spread in the zone that receives it.
+    std::chrono::milliseconds refresh_interval{5000};
+    /// A zone that was not heard of for so long is taken for unreachable.
+    std::chrono::milliseconds unreachable_after{20'000};
+    std::size_t delegates{2};
+    /// Addresses of entry VMs in a summary.
+    std::size_t entry_sample{4};
+};
+
+/// What this VM knows of its own zone for the summary.
+struct local_zone_state {
+    bool in_service{true};
+    config_number config;
+    std::uint64_t config_hash{0};
+    std::vector<capacity_entry> capacity;
+};
+
+/// Another zone as it last described itself.
+struct known_zone {
+    zone_summary_message summary;
+    steady_time received;
+    bool reachable{false};
+};
+
+/// Sends this zone's summary if this VM is a delegate, and keeps the other zones'.
+class zone_directory {
+public:
+    zone_directory(zone_directory_settings settings, std::uint64_t random_seed)
+        : settings_(std::move(settings)), random_(random_seed)
+    {
+    }
+
+    void set_local(local_zone_state local) { local_ = std::move(local); }
+    /// Takes addresses of other zones' VMs from the VM list, to begin with.
+    void set_listed(std::map<zone_name, std::vector<vm_address>> listed) { listed_ = std::move(listed); }
+
+    /// @param members this zone's membership. @return the summaries to send.
+    std::vector<outgoing_message> tick(const membership& members, steady_time now, wall_time wall_now);
+    /// Takes a message of kind zone_summary from an authenticated peer and spreads it in this zone if it has news.
+    void on_message(std::string_view payload, membership& members, steady_time now);
+    /// Takes a gossip item of kind zone_summary.
+    void on_item(const gossip_item& item, steady_time now);
+
+    /// @return the other zones by name.
+    std::map<zone_name, known_zone> zones(steady_time now) const;
+    std::uint64_t refused() const { return refused_; }
+
+private:
+    bool is_delegate(const membership& members) const;
+    zone_summary_message summarise(const membership& members, wall_time wall_now);
+    bool has_news(const zone_summary_message& summary) const;
+    void store(zone_summary_message summary, steady_time now);
+
+    zone_directory_settings settings_;
+    std::mt19937_64 random_;
+    local_zone_state local_;
+    std::map<zone_name, std::vector<vm_address>> listed_;
+    std::map<zone_name, known_zone> zones_;
+    steady_time next_summary_;
+    std::uint64_t last_version_{0};
+    std::uint64_t refused_{0};
+};
+
+} // namespace agatespar
--- a/lib/backend/permit_holder.cpp
+++ b/lib/backend/permit_holder.cpp
@@ -46,15 +46,74 @@
     held.last_use = now;
 }
 
-std::optional<permit> permit_holder::try_acquire(server_key server, steady_time now)
+void permit_holder::notice_pause(steady_time now)
+{
+    const bool paused = last_call_ && now - *last_call_ > settings_.pause_threshold;
+    last_call_ = now;
+    if (paused) {
+        // The owners may have taken this VM for dead.
+        void_all();
+    }
+}
+
+void permit_holder::void_all()
+{
+    for (auto& [server, held] : servers_) {
+        void_permits(held);
+    }
+}
+
+void permit_holder::void_server(server_key server)
+{
+    const auto found = servers_.find(server);
+    if (found != servers_.end()) {
+        void_permits(found->second);
+    }
+}
+
+void permit_holder::void_permits(held_server& held) const
+{
+    for (const permit& each : held.store) {
+        give_back(held, each, {work_result::unused, 1.0});
+    }
+    held.store.clear();
+    for (permit& each : held.running) {
+        each.single_use = true;
+    }
+}
+
+std::uint32_t permit_holder::held(server_key server, steady_time now) const
 {
+    const auto found = servers_.find(server);
+    if (found == servers_.end()) {
+        return 0;
+    }
+    const auto& store = found->second.store;
+    return static_cast<std::uint32_t>(std::count_if(
+        store.begin(), store.end(), [now](const permit& each) { return now + use_margin < each.usable_until; }));
+}
+
+std::optional<server_key> permit_holder::any_held(steady_time now) const
+{
+    for (const auto& [server, each] : servers_) {
+        if (!each.store.empty() && held(server, now) > 0) {
+            return server;
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<permit> permit_holder::try_acquire(server_key server, boot_id owner, steady_time now)
+{
+    notice_pause(now);
     const auto found = servers_.find(server);
     if (found == servers_.end()) {
         return std::nullopt;
     }
     held_server& held = found->second;
-    const auto usable = std::find_if(held.store.rbegin(), held.store.rend(),
-                                     [now](const permit& each) { return now + use_margin < each.usable_until; });
+    const auto usable = std::find_if(held.store.rbegin(), held.store.rend(), [&](const permit& each) {
+        return each.owner == owner && now + use_margin < each.usable_until;
+    });
     if (usable == held.store.rend()) {
         return std::nullopt;
     }
@@ -124,8 +183,9 @@
     held.finished.push_back({given.owner, {given.number, result.result, percent(result.slowdown), given.good_uses}});
 }
 
-void permit_holder::release(const permit& used, const permit_result& result, steady_time now)
+void permit_holder::release(const permit& used, const permit_result& result, bool reusable, steady_time now)
 {
+    notice_pause(now);
     held_server& held = entry(used.server);
     const auto same = [&used](const permit& each) { return each.number == used.number && each.owner == used.owner; };
     const auto found = std::find_if(held.running.begin(), held.running.end(), same);
@@ -136,8 +196,10 @@
     held.running.erase(found);
     const bool fine = result.result == work_result::unused ||
                       (result.result == work_result::good && result.slowdown < reported_slowdown);
-    if (fine && !used.single_use && !used.alone && now + use_margin < used.usable_until) {
+    if (fine && reusable && !given.single_use && !given.alone && given.good_uses < settings_.max_uses) {
         given.good_uses = static_cast<std::uint16_t>(given.good_uses + (result.result == work_result::good ? 1 : 0));
+        // Work that ran tells that the server is up, so that the permit may serve once more.
+        given.usable_until = result.result == work_result::good ? now + settings_.reuse_time : given.usable_until;
         held.store.push_back(given);
         return;
     }
@@ -145,8 +207,9 @@
     const bool server_down = result.result == work_result::refused || result.result == work_result::broken;
     if (server_down) {
         drop_store(held, used.owner);
+        end_reuse(held, used.owner);
     }
-    if (server_down || used.single_use || used.alone) {
+    if (server_down || given.single_use || given.alone) {
         flush(used.server, held);
     }
 }
@@ -161,6 +224,13 @@
     });
 }
 
+void permit_holder::end_reuse(held_server& held, boot_id owner)
+{
+    for (permit& each : held.running) {
+        each.single_use = each.single_use || each.owner == owner;
+    }
+}
+
 void permit_holder::drop_lapsed(held_server& held, steady_time now)
 {
     std::erase_if(held.store, [&](const permit& each) {
--- a/lib/backend/permit_holder_grants.cpp
+++ b/lib/backend/permit_holder_grants.cpp
@@ -26,6 +26,7 @@
 
 void permit_holder::on_grant(boot_id owner, const permit_grant_message& grant, steady_time now)
 {
+    notice_pause(now);
     const auto known = servers_.find(grant.server);
     held_server* held = known == servers_.end() ? nullptr : &known->second;
     if (grant.verdict == permit_verdict::audit) {
@@ -38,6 +39,7 @@
     held->load = granted_load{grant.limit, grant.in_force, now};
     if (grant.verdict == permit_verdict::revoked) {
         drop_store(*held, owner);
+        end_reuse(*held, owner);
         flush(grant.server, *held);
         return;
     }
@@ -111,6 +113,7 @@
 
 void permit_holder::tick(steady_time now)
 {
+    notice_pause(now);
     std::vector<permit_callback> overdue;
     std::vector<server_key> forgotten;
     for (auto& [server, held] : servers_) {
--- a/lib/backend/permit_owner.cpp
+++ b/lib/backend/permit_owner.cpp
@@ -2,6 +2,7 @@
 #include <agatespar/backend/permit_owner.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace agatespar {
@@ -9,26 +10,27 @@
 void permit_owner::set_owned(std::span<const backend_server> servers, steady_time now)
 {
     notice_pause(now);
-    std::map<server_key, owned_server> kept;
+    std::set<server_key> keys;
     for (const backend_server& server : servers) {
-        const auto found = servers_.find(server.key);
-        if (found == servers_.end()) {
-            owned_server& owned = kept[server.key];
-            owned.server = server;
-            owned.limit = make_cold_limit(server.cold_slots, server.slots);
-            start_takeover(owned, now);
-            continue;
-        }
-        owned_server& owned = kept[server.key] = std::move(found->second);
-        if (owned.server.cold_slots != server.cold_slots || owned.server.slots != server.slots) {
+        keys.insert(server.key);
+        const auto [place, is_new] = servers_.try_emplace(server.key);
+        owned_server& owned = place->second;
+        if (is_new || !owned.owned || owned.server.cold_slots != server.cold_slots ||
+            owned.server.slots != server.slots) {
             const std::optional<server_start_id> start = owned.limit.start;
             owned.limit = make_cold_limit(server.cold_slots, server.slots);
             owned.limit.start = start;
         }
         owned.revoke = owned.revoke || (server.leaving && !owned.server.leaving);
         owned.server = server;
+        if (is_new || !owned.owned) {
+            owned.owned = true;
+            start_takeover(owned, now);
+        }
+    }
+    for (auto& [key, owned] : servers_) {
+        owned.owned = keys.count(key) > 0;
     }
-    servers_ = std::move(kept);
 }
 
 void permit_owner::set_standing(bool in_service, bool majority, steady_time now)
@@ -71,8 +73,7 @@
 void permit_owner::start_takeover(owned_server& owned, steady_time now)
 {
     ++counters_.takeovers;
-    owned.grants.clear();
-    owned.alone.reset();
+    // Permits of an earlier term still count: their holders may not have noticed that it ended.
     owned.reserved_for.reset();
     owned.recent_ends.clear();
     owned.unknown_work = 0;
@@ -158,7 +159,7 @@
 {
     notice_pause(now);
     const auto found = servers_.find(request.server);
-    if (found == servers_.end()) {
+    if (found == servers_.end() || !found->second.owned) {
         ++counters_.refused_not_owner;
         permit_grant_message message;
         message.server = request.server;
@@ -192,7 +193,8 @@
     message.count = static_cast<std::uint8_t>(count);
     message.lifetime_ms = static_cast<std::uint16_t>(lifetime.count());
     message.alone = request.alone;
-    message.single_use = !owned.limit.warm;
+    // While the limit still grows its owner wants to hear of each result.
+    message.single_use = !owned.limit.warm || allowed_work(owned.limit) < owned.limit.slots;
     return message;
 }
 
@@ -200,7 +202,7 @@
 {
     std::vector<server_key> due;
     for (auto& [key, owned] : servers_) {
-        if (now >= owned.next_poll) {
+        if (owned.owned && now >= owned.next_poll) {
             owned.next_poll = now + settings_.poll_interval;
             due.push_back(key);
         }
@@ -213,7 +215,9 @@
     std::vector<owned_server_status> all;
     all.reserve(servers_.size());
     for (const auto& [key, owned] : servers_) {
-        all.push_back(*status(key));
+        if (owned.owned) {
+            all.push_back(*status(key));
+        }
     }
     return all;
 }
@@ -221,7 +225,7 @@
 std::optional<owned_server_status> permit_owner::status(server_key server) const
 {
     const auto found = servers_.find(server);
-    if (found == servers_.end()) {
+    if (found == servers_.end() || !found->second.owned) {
         return std::nullopt;
     }
     const owned_server& owned = found->second;
--- a/lib/backend/permit_owner_accounts.cpp
+++ b/lib/backend/permit_owner_accounts.cpp
@@ -34,9 +34,14 @@
     if (note_report(owned.limit, report)) {
         note_turned_cold(owned);
     }
-    if (owned.awaits_report && owned.hinted_limit > 0 && owned.hinted_tag == tag_of(report.start)) {
+    if (owned.awaits_report && owned.hinted_limit > owned.limit.cold_slots &&
+        owned.hinted_tag == tag_of(report.start)) {
         adopt_limit(owned.limit, owned.hinted_limit, report.start);
     }
+    if (owned.awaits_report && report.warm && sampled >= owned.unknown_from) {
+        // What it runs now, it bears.
+        adopt_limit(owned.limit, std::max(report.running, allowed_work(owned.limit)), report.start);
+    }
     account_report(owned, report, sampled);
 }
 
@@ -140,7 +145,7 @@
             continue;
         }
         owned.unknown_work += static_cast<std::uint32_t>(gone);
-        owned.unknown_from = std::max(owned.unknown_from, now + settings_.warm_lifetime + settings_.margin);
+        owned.unknown_from = std::max(owned.unknown_from, now + settings_.handover_wait);
         if (owned.alone && owned.grants.count(*owned.alone) == 0) {
             owned.alone.reset();
         }
@@ -165,6 +170,7 @@
             audit(owned, now, notices);
         }
     }
+    std::erase_if(servers_, [](const auto& each) { return !each.second.owned && each.second.grants.empty(); });
     return notices;
 }
 
@@ -183,9 +189,7 @@
 {
     std::set<boot_id> holders;
     for (const auto& [number, granted] : owned.grants) {
-        if (now <= granted.lapsed) {
-            holders.insert(granted.holder);
-        }
+        holders.insert(granted.holder);
     }
     for (const boot_id holder : holders) {
         notices.push_back({holder, describe(owned, permit_verdict::revoked, now)});
--- a/lib/backend/permit_service.cpp
+++ b/lib/backend/permit_service.cpp
@@ -43,9 +43,15 @@
     owner_.set_standing(in_service_, majority_, now);
 }
 
+void permit_service::on_presumed_dead(steady_time now)
+{
+    owner_.start_over(now);
+    holder_.void_all();
+}
+
 void permit_service::assign(steady_time now)
 {
-    owner_by_server_.clear();
+    const auto former = std::exchange(owner_by_server_, {});
     std::vector<backend_server> owned;
     for (const backend_server& server : servers_) {
         const auto owner = agatespar::owner_of(server.key.value(), owners_);
@@ -53,6 +59,10 @@
             continue;
         }
         owner_by_server_[server.key] = *owner;
+        const auto before = former.find(server.key);
+        if (before == former.end() || before->second != *owner) {
+            holder_.void_server(server.key);
+        }
         if (*owner == settings_.self) {
             owned.push_back(server);
         }
@@ -77,7 +87,7 @@
     if (!in_service_ || owner == owner_by_server_.end()) {
         return std::nullopt;
     }
-    const std::optional<permit> taken = holder_.try_acquire(server, now);
+    const std::optional<permit> taken = holder_.try_acquire(server, owner->second, now);
     if (taken) {
         holder_.refill(server, owner->second, now);
     }
@@ -99,7 +109,8 @@
 
 void permit_service::release(const permit& used, const permit_result& result, steady_time now)
 {
-    holder_.release(used, result, now);
+    const bool reusable = in_service_ && owner_of_server(used.server) == used.owner;
+    holder_.release(used, result, reusable, now);
 }
 
 void permit_service::on_message(boot_id from, message_kind kind, std::string_view payload, steady_time now)
--- a/lib/backend/server_limit.cpp
+++ b/lib/backend/server_limit.cpp
@@ -90,10 +90,10 @@
 
 void adopt_limit(server_limit& limit, std::uint32_t earlier, server_start_id start)
 {
-    if (earlier <= limit.cold_slots || limit.start != start || !limit.reported_warm) {
+    if (limit.start != start || !limit.reported_warm) {
         return;
     }
-    limit.limit = std::min(earlier, limit.slots);
+    limit.limit = std::clamp(earlier, limit.cold_slots, limit.slots);
     limit.warm = true;
 }
 
--- a/lib/membership/gossip_store.cpp
+++ b/lib/membership/gossip_store.cpp
@@ -30,7 +30,7 @@
 static std::uint32_t sends_for(const gossip_item& item, std::size_t members)
 {
     const auto log_members = static_cast<std::uint32_t>(std::bit_width(members));
-    return is_lasting(item.kind) ? 2 * log_members : std::max(2U, log_members / 2);
+    return item.kind != gossip_kind::server_table ? 2 * log_members : std::max(2U, log_members / 2);
 }
 
 bool gossip_store::merge(const gossip_item& item, std::size_t members)
--- a/lib/membership/membership_merge.cpp
+++ b/lib/membership/membership_merge.cpp
@@ -98,9 +98,13 @@
 
 void membership::merge(const gossip_body& body, steady_time now, membership_output& output)
 {
+    const bool stranger = table_.find(body.sender.boot) == nullptr && body.sender.state <= member_state::leaving;
     claim_address(body.sender, now, output);
     merge_update(body.sender, now, output);
     answer_stale_sender(body, output);
+    if (stranger && table_.live().size() > 2) {
+        exchange_all(body.sender.address, output);
+    }
     for (const member_update& update : body.updates) {
         merge_update(update, now, output);
     }
--- a/unittests/backend/zone_schedule.h
+++ b/unittests/backend/zone_schedule.h
@@ -311,6 +311,13 @@
     {
         presumed_dead_ = boot;
         publish_view();
+        for (auto& [other, vm] : vms_) {
+            if (other != boot) {
+                later(random_duration(0, 2000), [this, other = other, boot] {
+                    on_vm(other, [this, other, boot] { vms_.at(other).service->on_member_gone(boot, now_); });
+                });
+            }
+        }
         later(random_duration(0, 2000), [this, boot] {
             on_vm(boot, [this, boot] {
                 vms_.at(boot).service->on_presumed_dead(now_);
@@ -329,7 +336,8 @@
         }
         vm.paused_since = now_;
         vm.paused_until = now_ + length;
-        if (length > std::chrono::seconds{5}) {
+        if (length > least_detection) {
+            // Once it runs again it refutes, which the others hear.
             later(random_duration(4000, 5000), [this] { publish_view(); });
             later(length + random_duration(0, 1000), [this] { publish_view(); });
         }
