--- a/include/agatespar/backend/permit_holder.h
+++ b/include/agatespar/backend/permit_holder.h
@@ -29,7 +29,7 @@
     /// How long a warm server's permit may serve the next request after one ended under it.
     std::chrono::milliseconds reuse_time{1000};
     /// Requests that one permit serves at most, so that its owner hears of their results.
-    std::uint16_t max_uses{4};
+    std::uint16_t max_uses{8};
     /// A longer gap between calls means that this process was paused.
     std::chrono::milliseconds pause_threshold{1500};
     /// A server that was not used for so long is forgotten.
--- a/include/agatespar/backend/permit_owner.h
+++ b/include/agatespar/backend/permit_owner.h
@@ -30,8 +30,8 @@
     /// A new owner grants nothing for this long: the old owner's permits lapse, and the last VM learns of the change.
     std::chrono::milliseconds handover_wait{5000};
     /// A permit above the cold limit needs a load report no older than this.
-    std::chrono::milliseconds report_validity{4000};
-    std::chrono::milliseconds poll_interval{2000};
+    std::chrono::milliseconds report_validity{4500};
+    std::chrono::milliseconds poll_interval{3000};
     /// How long work of unknown holders on a warm server counts against the limit.
     std::chrono::milliseconds unknown_work_lapse{30'000};
     /// Permits that are given back neither used nor unused are asked after.
--- a/include/agatespar/membership/gossip_store.h
+++ b/include/agatespar/membership/gossip_store.h
@@ -3,6 +3,7 @@
 
 #include <agatespar/membership/messages.h>
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -44,6 +45,8 @@
     std::uint64_t digest() const { return digest_; }
 
 private:
+    void take_from(std::size_t queue, std::size_t max_bytes, std::size_t& used, std::vector<gossip_item>& taken);
+
     struct entry {
         gossip_item item;
         std::uint32_t sends_left{0};
@@ -52,7 +55,8 @@
 
     gossip_limits limits_;
     std::map<key, entry> entries_;
-    std::vector<key> outgoing_;
+    /// What still has to go out: lasting items, which go first, and the others.
+    std::array<std::vector<key>, 2> outgoing_;
     std::uint64_t refused_{0};
     std::uint64_t digest_{0};
 };
--- a/include/agatespar/membership/membership.h
+++ b/include/agatespar/membership/membership.h
@@ -113,8 +113,8 @@
     std::span<const boot_id> live() const { return table_.live(); }
     /// @return a member's address, or nothing if it is not known.
     std::optional<vm_address> address_of(boot_id boot) const { return table_.address_of(boot); }
-    /// @return true while more than half of the members last known are live, as seen from here.
-    bool has_majority() const { return table_.has_majority(); }
+    /// @return true while more than half of the members last known, and of the VMs listed, are live as seen from here.
+    bool has_majority() const;
     boot_id self() const { return settings_.boot; }
     /// Changes whenever owners() or live() changes.
     std::uint64_t view_version() const { return table_.view_version(); }
--- a/include/agatespar/membership/zone_directory.h
+++ b/include/agatespar/membership/zone_directory.h
@@ -20,12 +20,12 @@
     /// How often each delegate sends to each other zone.
     std::chrono::milliseconds summary_interval{4000};
     /// How often a summary without news is spread in the zone that receives it.
-    std::chrono::milliseconds refresh_interval{5000};
+    std::chrono::milliseconds refresh_interval{15'000};
     /// A zone that was not heard of for so long is taken for unreachable.
-    std::chrono::milliseconds unreachable_after{20'000};
+    std::chrono::milliseconds unreachable_after{45'000};
     std::size_t delegates{2};
     /// Addresses of entry VMs in a summary.
-    std::size_t entry_sample{4};
+    std::size_t entry_sample{3};
 };
 
 /// What this VM knows of its own zone for the summary.
--- a/lib/backend/load_table.cpp
+++ b/lib/backend/load_table.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// The load is told in this many steps of the limit.
-constexpr int load_steps = 4;
+// A change of the load by this share of the limit is worth spreading.
+constexpr double material_share = 0.5;
 
 } // namespace
 
@@ -41,17 +41,18 @@
     return static_cast<std::uint32_t>(server.value());
 }
 
-static int load_step(const server_table_entry& entry)
+static double load_share(const server_table_entry& entry)
 {
-    const int load = entry.in_force + entry.queued;
-    return entry.limit == 0 ? load_steps : std::min(load * load_steps / entry.limit, 2 * load_steps);
+    const double load = entry.in_force + entry.queued;
+    return load / std::max<double>(entry.limit, 1.0);
 }
 
 bool differs_materially(const server_table_entry& left, const server_table_entry& right)
 {
-    const bool limit_moved = std::abs(left.limit - right.limit) * load_steps > std::min(left.limit, right.limit);
+    const double smaller_limit = std::min(left.limit, right.limit);
+    const bool limit_moved = std::abs(left.limit - right.limit) > material_share * smaller_limit;
     return left.key != right.key || left.healthy != right.healthy || left.start_tag != right.start_tag || limit_moved ||
-           std::abs(load_step(left) - load_step(right)) > 1;
+           std::abs(load_share(left) - load_share(right)) > material_share;
 }
 
 std::uint32_t corrected_load(std::uint32_t reported, std::span<const steady_time> sent,
--- a/lib/backend/permit_owner.cpp
+++ b/lib/backend/permit_owner.cpp
@@ -81,7 +81,8 @@
     owned.awaits_report = true;
     owned.grants_from = now + settings_.handover_wait;
     owned.unknown_from = owned.grants_from;
-    owned.next_poll = now;
+    // An earlier report would not show what runs when the wait is over.
+    owned.next_poll = owned.grants_from;
     owned.next_audit = now + settings_.audit_interval;
 }
 
--- a/lib/membership/gossip_store.cpp
+++ b/lib/membership/gossip_store.cpp
@@ -30,7 +30,11 @@
 static std::uint32_t sends_for(const gossip_item& item, std::size_t members)
 {
     const auto log_members = static_cast<std::uint32_t>(std::bit_width(members));
-    return item.kind != gossip_kind::server_table ? 2 * log_members : std::max(2U, log_members / 2);
+    if (is_lasting(item.kind)) {
+        return 2 * log_members;
+    }
+    // A table that misses a VM is replaced soon; a zone's summary lasts longer.
+    return item.kind == gossip_kind::zone_summary ? log_members : std::max(2U, log_members / 2);
 }
 
 bool gossip_store::merge(const gossip_item& item, std::size_t members)
@@ -50,7 +54,7 @@
         digest_ ^= item_digest(held.item);
     }
     if (held.sends_left == 0) {
-        outgoing_.push_back(item_key);
+        outgoing_[is_lasting(item.kind) ? 0 : 1].push_back(item_key);
     }
     held.item = item;
     held.sends_left = sends_for(item, members);
@@ -61,10 +65,20 @@
 std::vector<gossip_item> gossip_store::take(std::size_t max_bytes)
 {
     std::vector<gossip_item> taken;
-    std::vector<key> again;
     std::size_t used = 0;
-    auto next = outgoing_.begin();
-    for (; next != outgoing_.end(); ++next) {
+    for (std::size_t queue = 0; queue < outgoing_.size(); ++queue) {
+        take_from(queue, max_bytes, used, taken);
+    }
+    return taken;
+}
+
+void gossip_store::take_from(std::size_t queue, std::size_t max_bytes, std::size_t& used,
+                             std::vector<gossip_item>& taken)
+{
+    std::vector<key>& waiting = outgoing_[queue];
+    std::vector<key> again;
+    auto next = waiting.begin();
+    for (; next != waiting.end(); ++next) {
         const auto found = entries_.find(*next);
         if (found == entries_.end()) {
             continue;
@@ -81,9 +95,8 @@
         }
     }
     // What has just gone out queues up behind what has not.
-    outgoing_.erase(outgoing_.begin(), next);
-    outgoing_.insert(outgoing_.end(), again.begin(), again.end());
-    return taken;
+    waiting.erase(waiting.begin(), next);
+    waiting.insert(waiting.end(), again.begin(), again.end());
 }
 
 void gossip_store::expire(std::uint32_t unix_seconds)
@@ -92,7 +105,7 @@
         const gossip_item& item = next->second.item;
         if (item.expires != 0 && item.expires < unix_seconds) {
             digest_ ^= item_digest(item);
-            std::erase(outgoing_, next->first);
+            std::erase(outgoing_[is_lasting(item.kind) ? 0 : 1], next->first);
             next = entries_.erase(next);
         }
         else {
--- a/lib/membership/membership.cpp
+++ b/lib/membership/membership.cpp
@@ -67,6 +67,12 @@
     }
 }
 
+bool membership::has_majority() const
+{
+    const auto listed = std::count_if(listed_.begin(), listed_.end(), [](const listed_vm& vm) { return !vm.leaving; });
+    return table_.has_majority() && 2 * table_.live().size() > static_cast<std::size_t>(listed);
+}
+
 void membership::announce_leaving(steady_time now)
 {
     table_.reassert(table_.self().incarnation, member_state::leaving, now);
@@ -173,6 +179,11 @@
 
 void membership::greet_listed(membership_output& output)
 {
+    // Some few of the zone's members greet at a time, however many there are.
+    const double share = static_cast<double>(greetings_at_once) / static_cast<double>(table_.live().size());
+    if (std::uniform_real_distribution<>{}(random_) > share) {
+        return;
+    }
     std::vector<vm_address> unknown;
     for (const listed_vm& vm : listed_) {
         if (!vm.leaving && vm.address != settings_.address && table_.at_address(vm.address) == nullptr) {
@@ -182,8 +193,9 @@
     std::shuffle(unknown.begin(), unknown.end(), random_);
     unknown.resize(std::min(unknown.size(), greetings_at_once));
     for (const vm_address& address : unknown) {
-        // The answer makes the member known; it matches no pending probe.
-        send_probe(output, address, ++last_sequence_);
+        // The answer makes the member known; it matches no pending probe. Nobody may be there to take any gossip.
+        send(output, address, message_kind::probe,
+             probe_message{++last_sequence_, {settings_.zone, table_.self(), digest(), {}, {}}});
     }
 }
 
--- a/lib/membership/membership_merge.cpp
+++ b/lib/membership/membership_merge.cpp
@@ -102,7 +102,8 @@
     claim_address(body.sender, now, output);
     merge_update(body.sender, now, output);
     answer_stale_sender(body, output);
-    if (stranger && table_.live().size() > 2) {
+    // A new member gets all at once, but not from one that is new itself.
+    if (stranger && now - steady_start_ > settings_.exchange_interval) {
         exchange_all(body.sender.address, output);
     }
     for (const member_update& update : body.updates) {
