--- a/include/agatespar/config/configuration.h
+++ b/include/agatespar/config/configuration.h
@@ -157,6 +157,10 @@
 /// @return whether the account allows a version of a model of its own fleet.
 bool allows(const client_account_settings& account, const model_name& model, const version_name& version);
 
+/// @param contact_age how long ago the VM last knew of the log's head.
+/// @return whether the service takes new work in a zone that may be cut off from the log.
+bool takes_new_work(const service_settings& service, std::chrono::nanoseconds contact_age);
+
 /// Follows the successors of withdrawn versions.
 /// @return the serving version that takes over a session of the given one (which is itself if it serves), or none if
 /// the session has to be placed like a new one.
--- a/lib/config/configuration.cpp
+++ b/lib/config/configuration.cpp
@@ -62,6 +62,11 @@
     return versions != nullptr && (versions->empty() || versions->contains(version));
 }
 
+bool takes_new_work(const service_settings& service, std::chrono::nanoseconds contact_age)
+{
+    return !service.cut_off_limit || contact_age <= *service.cut_off_limit;
+}
+
 std::optional<version_name> resolve_version(const model_settings& model, const version_name& version)
 {
     version_name candidate = version;
--- a/tools/agatesparctl/query_commands.cpp
+++ b/tools/agatesparctl/query_commands.cpp
@@ -14,6 +14,16 @@
 
 static constexpr int http_ok = 200;
 
+// Takes the message out of a refusal in the callers' form, or else the whole body.
+static std::string refusal_text(const nlohmann::json& body)
+{
+    const nlohmann::json::json_pointer message{"/error/message"};
+    if (body.is_object() && body.contains(message) && body.at(message).is_string()) {
+        return ": " + body.at(message).get<std::string>();
+    }
+    return body.is_discarded() ? "" : ": " + body.dump();
+}
+
 static exit_code print_answer(const outcome<http_response>& answer, bool json)
 {
     if (!answer) {
@@ -21,8 +31,7 @@
     }
     const nlohmann::json body = nlohmann::json::parse(answer->body, nullptr, false);
     if (answer->head.status != http_ok) {
-        const std::string detail = body.is_discarded() ? "" : ": " + body.dump();
-        return print_error("the VM answers with status " + std::to_string(answer->head.status) + detail,
+        return print_error("the VM answers with status " + std::to_string(answer->head.status) + refusal_text(body),
                            exit_code::refused);
     }
     if (body.is_discarded()) {
--- a/unittests/config/config_reader_test.cpp
+++ b/unittests/config/config_reader_test.cpp
@@ -144,6 +144,10 @@
             CHECK(f.all_at(1));
             CHECK(f.zone.at(7).reader->contact_age() >= 590s);
             CHECK(f.zone.at(7).reader->ready());
+            service_settings service;
+            CHECK(takes_new_work(service, f.zone.at(7).reader->contact_age()));
+            service.cut_off_limit = 300s;
+            CHECK(!takes_new_work(service, f.zone.at(7).reader->contact_age()));
         }
         AND_WHEN("it is back with a change")
         {
