Plan, cascade and guard by ratings in the running daemon

What stands: held answers are rated before they go out, others afterwards; counts spread in the zone by gossip; a version's stop is logged with its reason. Lengths of answers come from the same counts, so the moving averages of their own are gone.

--- a/include/agatespar/request/chat_service.h
+++ b/include/agatespar/request/chat_service.h
@@ -3,6 +3,7 @@
 
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/platform/engine.h>
+#include <agatespar/platform/rating_service.h>
 #include <agatespar/request/admission.h>
 #include <agatespar/request/permit_source.h>
 #include <agatespar/request/request.h>
@@ -20,8 +21,8 @@
 
 namespace agatespar {
 
+class answer_quality;
 class explain_store;
-class output_estimates;
 class server_table;
 
 /// Counts of the request path since the start.
@@ -36,6 +37,8 @@
     std::uint64_t retries_denied{0};
     std::uint64_t late_events_dropped{0};
     std::uint64_t forwarded{0};
+    /// Answers of a cheaper model that were rated bad, so that a stronger one answered.
+    std::uint64_t cascaded{0};
     std::uint64_t running{0};
 };
 
@@ -57,7 +60,8 @@
     forward_function forward;
     usage_account usage;
     retry_budget* retries{nullptr};
-    output_estimates* outputs{nullptr};
+    answer_quality* quality{nullptr};
+    rating_service rating;
 };
 
 /// Runs chat requests until their answers are whole, refused, or cancelled.
--- a/include/agatespar/request/server_table.h
+++ b/include/agatespar/request/server_table.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -93,6 +94,9 @@
     void count_start(const server_id& id);
     void count_end(const server_id& id, const route_target& target, const attempt_measure& measure);
 
+    /// Lets no new session onto a version, or lets them again. @return whether that changed anything.
+    bool set_stopped_by_guard(const version_id& version, bool stopped);
+
     /// @return the view that decisions use, brought up to date.
     const routing_view& view();
     /// Replaces what is known of another zone.
@@ -135,6 +139,7 @@
     std::unordered_map<server_id, known_server> servers_;
     std::unordered_map<zone_id, other_zone> other_zones_;
     bool zones_changed_{true};
+    std::set<version_id> stopped_by_guard_;
     bool rebuild_needed_{true};
     bool refresh_needed_{true};
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -5,6 +5,7 @@
 #include <agatespar/platform/http_engine.h>
 #include <agatespar/platform/http_log.h>
 #include <agatespar/platform/http_plain_service.h>
+#include <agatespar/platform/http_rating_service.h>
 #include <agatespar/platform/http_vm_list.h>
 #include <agatespar/telemetry/log.h>
 
@@ -15,10 +16,17 @@
 namespace agatespar {
 
 static constexpr std::chrono::seconds trace_interval{2};
+static constexpr std::chrono::seconds quality_interval{1};
+static constexpr std::uint64_t ticks_per_counts = 5;
 static constexpr std::chrono::milliseconds drain_interval{50};
 // The last messages of a stopping VM get this long to leave the process.
 static constexpr std::chrono::milliseconds farewell_time{200};
 
+static rating_service make_rating(const node_settings& settings, const http_client& client)
+{
+    return settings.rating_url.empty() ? rating_service{} : make_http_rating_service(client, settings.rating_url);
+}
+
 static span_sink make_trace_sink(const node_settings& settings, const http_client& client)
 {
     if (!settings.trace_file.empty()) {
@@ -39,7 +47,7 @@
 node::impl::impl(glib_event_loop& event_loop, const node_settings& initial, std::unique_ptr<transport> opened)
     : loop(event_loop), settings(initial), random(std::random_device{}()), carrier(std::move(opened)), http(loop),
       log(make_http_log(http.client(), settings.log_url)), spans({}, random()),
-      trace_sink(make_trace_sink(settings, http.client())), table(settings.zone),
+      trace_sink(make_trace_sink(settings, http.client())), table(settings.zone), quality(table, carrier->self()),
       members(loop, *carrier, router, settings.zone, carrier->self(), settings.peers),
       config(loop, log, *carrier, router, members, random),
       servers(loop, make_http_vm_list(http.client(), settings.vm_list_url), make_http_engine(http.client()), *carrier,
@@ -58,16 +66,26 @@
     config.listen([this](const std::shared_ptr<const configuration>& changed) {
         table.apply_configuration(changed);
         servers.apply_configuration(*changed);
+        quality.apply_configuration();
         log_event(log_severity::info, "configuration_in_force", {{"number", changed->number.value()}});
     });
     servers.listen([this](const std::vector<vm_entry>& entries) { zones.take_list(entries); });
     wire_requests();
     wire_interfaces();
+    members.listen([this](const membership_event& event) {
+        const bool counts = event.kind == membership_event_kind::item && event.item.kind == gossip_kind::version_counts;
+        if (counts) {
+            quality.import_counts(event.item.bytes);
+        }
+    });
     trace_timer = loop.schedule(trace_interval, [this] { export_traces(); });
+    quality.set_rating_available(!settings.rating_url.empty());
+    learn();
 }
 
 node::impl::~impl()
 {
+    loop.cancel(quality_timer);
     loop.cancel(trace_timer);
     loop.cancel(drain_timer);
 }
@@ -97,7 +115,7 @@
                           servers.source(), make_session_codec(settings.session_secret),
                           [this](const zone_id& zone, const chat_request& request, duration remaining,
                                  const answer_sink& sink) { return forwards->send(zone, request, remaining, sink); },
-                          usage.account(), &retries, &outputs});
+                          usage.account(), &retries, &quality, make_rating(settings, http.client())});
     calls = service_dependencies{
         &loop,
         &table,
@@ -190,6 +208,26 @@
     }
 }
 
+/// Learns from the ratings, and now and then tells the zone's other VMs what this one counted.
+void node::impl::learn()
+{
+    quality_timer = loop.schedule(quality_interval, [this] { learn(); });
+    for (const guard_change& change : quality.tick()) {
+        log_event(log_severity::warning, change.stopped ? "version_stopped" : "version_released",
+                  {{"version", to_string(change.version)}, {"reason", change.reason}});
+    }
+    if (++quality_ticks % ticks_per_counts != 0) {
+        return;
+    }
+    for (const auto& fleet : table.config().fleets) {
+        const std::string counts = quality.export_counts(fleet.first);
+        if (!counts.empty()) {
+            const std::string name = fleet.first.value() + "/" + std::to_string(carrier->self().value());
+            members.members().publish({gossip_kind::version_counts, name, quality_ticks, 0, counts}, false);
+        }
+    }
+}
+
 void node::impl::stop()
 {
     if (stopping) {
--- a/lib/node/node_services.h
+++ b/lib/node/node_services.h
@@ -15,11 +15,11 @@
 #include <agatespar/node/usage_service.h>
 #include <agatespar/node/zone_service.h>
 #include <agatespar/platform/soup_http_client.h>
+#include <agatespar/request/answer_quality.h>
 #include <agatespar/request/call_forwarding.h>
 #include <agatespar/request/chat_service.h>
 #include <agatespar/request/explain_store.h>
 #include <agatespar/request/forwarding.h>
-#include <agatespar/request/output_estimates.h>
 #include <agatespar/request/service_run.h>
 #include <agatespar/routing/retry_budget.h>
 #include <agatespar/telemetry/metrics.h>
@@ -49,6 +49,7 @@
     std::string render_metrics();
     void write_port_file() const;
     void export_traces();
+    void learn();
     void begin_drain();
     void follow_drain();
     void finish_stop();
@@ -67,8 +68,8 @@
     explain_store explanations;
     request_counters counters;
     retry_budget retries;
-    output_estimates outputs;
     server_table table;
+    answer_quality quality;
     membership_service members;
     config_service config;
     server_service servers;
@@ -88,6 +89,8 @@
     std::size_t cut{0};
     timer_id drain_timer;
     timer_id trace_timer;
+    timer_id quality_timer;
+    std::uint64_t quality_ticks{0};
 };
 
 } // namespace agatespar
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -2,7 +2,6 @@
 #include "chat_run.h"
 
 #include <agatespar/request/explain_store.h>
-#include <agatespar/request/output_estimates.h>
 #include <agatespar/routing/explain.h>
 #include <agatespar/support/hash.h>
 
@@ -14,12 +13,16 @@
 static constexpr std::uint32_t max_routes = 16;
 // Rough size of a token of the prompt, for estimates only.
 static constexpr std::size_t bytes_per_token = 4;
+// Longer answers are rated by their beginning.
+static constexpr std::size_t max_rated_bytes = std::size_t{256} * 1024;
+static constexpr std::chrono::milliseconds rating_timeout{2000};
 
 chat_run::chat_run(const chat_dependencies& dependencies, chat_request request, answer_sink sink, bool forwarded)
     : dependencies_(dependencies), request_(std::move(request)), sink_(std::move(sink)), forwarded_(forwarded),
       started_(dependencies_.loop->time().wall_now()), deadline_(now())
 {
     if (request_.resume) {
+        head_sent_ = true;
         answering_version_ = request_.resume->version;
         delivered_tokens_ = request_.resume->delivered.value();
     }
@@ -57,6 +60,7 @@
 {
     if (request_.session_token.empty()) {
         session_.id = request_.id.value();
+        make_plan();
         route();
         return;
     }
@@ -66,19 +70,61 @@
         return;
     }
     session_ = *std::move(session);
+    make_plan();
     route();
 }
 
+/// An answer that has begun goes on with its version only.
+version_set chat_run::allowed_versions() const
+{
+    version_set allowed;
+    for (const version_id& version : admitted_.allowed) {
+        const bool other_version = answering_version_ && *answering_version_ != version;
+        const auto index = dependencies_.servers->index_of({version, std::nullopt});
+        if (index && !other_version) {
+            allowed.set(index->value());
+        }
+    }
+    return allowed;
+}
+
+/// A request that leaves a choice of models is planned by cost and learned quality.
+void chat_run::make_plan()
+{
+    const routing_view& view = dependencies_.servers->view();
+    double both_ms = 0.0;
+    std::optional<model_index> only_model;
+    bool has_choice = false;
+    const version_set allowed = allowed_versions();
+    const auto output =
+        static_cast<double>(dependencies_.quality->expected_output(request_.account.fleet, class_name()).value());
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        if (!allowed.test(i)) {
+            continue;
+        }
+        const version_view& version = view.versions[i];
+        has_choice = has_choice || (only_model && *only_model != version.model);
+        only_model = version.model;
+        both_ms += output * version.decode_ms_per_token * (1.0 + version.decode_slope);
+    }
+    if (!has_choice) {
+        return;
+    }
+    quality_question question{request_.account.fleet, class_name(), stable_hash(session_.id),
+                              admitted_.deadline,     {},           admitted_.may_hold};
+    question.both_steps = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{both_ms});
+    plan_ = dependencies_.quality->plan(question, *dependencies_.random);
+}
+
 route_request chat_run::make_route_request() const
 {
     server_table& servers = *dependencies_.servers;
     route_request route;
     route.fleet = servers.index_of(request_.account.fleet).value_or(fleet_index{});
-    for (const version_id& version : admitted_.allowed) {
-        const bool other_version = answering_version_ && *answering_version_ != version;
-        if (const auto index = servers.index_of({version, std::nullopt}); index && !other_version) {
-            route.allowed.set(index->value());
-        }
+    route.allowed = allowed_versions();
+    if (plan_) {
+        route.preferred = (second_step_ ? plan_->then : plan_->first) & route.allowed;
+        route.fallback = dependencies_.quality->fallback(request_.account.fleet) & route.allowed;
     }
     route.session_hash = stable_hash(session_.id);
     for (const version_id& pin : session_.pins) {
@@ -97,7 +143,7 @@
         }
     }
     route.prompt_tokens = static_cast<std::uint32_t>(request_.messages_json.size() / bytes_per_token);
-    const token_count expected = dependencies_.outputs->expect(class_id());
+    const token_count expected = dependencies_.quality->expected_output(request_.account.fleet, class_name());
     route.expected_output_tokens = static_cast<std::uint32_t>(std::min(request_.max_output, expected).value());
     route.deadline = deadline_;
     route.streamed = request_.streamed;
@@ -105,11 +151,6 @@
     return route;
 }
 
-request_class_id chat_run::class_id() const
-{
-    return {request_.account.fleet, request_class_name{admitted_.request_class}};
-}
-
 void chat_run::route()
 {
     if (++routes_ > max_routes) {
@@ -167,7 +208,8 @@
     const auto self = shared_from_this();
     answer_sink sink;
     sink.start = [self](const answer_head& head) {
-        if (!self->closed_ && !self->answering_version_) {
+        if (!self->closed_ && !self->head_sent_) {
+            self->head_sent_ = true;
             self->answering_version_ = head.version;
             self->sink_.start(head);
         }
@@ -175,6 +217,7 @@
     sink.text = [self](const answer_text& piece) {
         if (!self->closed_) {
             self->delivered_tokens_ = piece.delivered.value();
+            self->answer_ += piece.text;
             self->sink_.text(piece);
         }
     };
@@ -195,6 +238,7 @@
 void chat_run::take_forward_end(const answer_end& end)
 {
     forward_cancel_ = {};
+    remote_answer_ = true;
     prompt_tokens_ = end.prompt_tokens;
     running_attempt remote;
     remote.target.version = answering_version_;
@@ -312,15 +356,34 @@
     if (!attempt_->first_token) {
         attempt_->first_token = now();
     }
-    if (!answering_version_) {
+    take_text(tokens.text, end);
+}
+
+/// @return whether an answer of the plan's first step is held back until it is rated.
+static bool is_held(const std::optional<serving_plan>& plan, bool second_step)
+{
+    return plan && plan->cascade() && !second_step;
+}
+
+void chat_run::take_text(std::string_view text, std::uint64_t end)
+{
+    delivered_tokens_ = end;
+    if (answer_.size() < max_rated_bytes) {
+        answer_ += text;
+    }
+    if (is_held(plan_, second_step_)) {
+        answering_version_ = attempt_->target.version;
+        return;
+    }
+    if (!head_sent_) {
         send_head(*attempt_->target.version);
     }
-    delivered_tokens_ = end;
-    sink_.text({tokens.text, token_count{end}});
+    sink_.text({text, token_count{end}});
 }
 
 void chat_run::send_head(const version_id& version)
 {
+    head_sent_ = true;
     answering_version_ = version;
     std::erase_if(session_.pins, [&](const version_id& pin) { return pin.model == version.model; });
     session_.pins.push_back(version);
@@ -336,14 +399,94 @@
                     std::nullopt});
         return;
     }
-    if (!answering_version_) {
-        send_head(*attempt_->target.version);
-    }
+    const version_id version = *attempt_->target.version;
     prompt_tokens_ = finish.usage.prompt;
     end_attempt(work_result::good, "");
+    answering_version_ = version;
+    if (is_held(plan_, second_step_)) {
+        rate(finish);
+        return;
+    }
+    if (!head_sent_) {
+        send_head(version);
+    }
     bill_and_finish(finish.reason);
 }
 
+void chat_run::rate(const engine_finish& finish)
+{
+    rating_request asked{request_.messages_json, answer_, *answering_version_, admitted_.request_class, rating_timeout};
+    dependencies_.rating.rate(std::move(asked), [self = shared_from_this(), finish](const outcome<rating>& judged) {
+        if (!self->closed_) {
+            self->take_rating(judged, finish);
+        }
+    });
+}
+
+/// Without a rating the stronger model answers, as its quality is the reference.
+void chat_run::take_rating(const outcome<rating>& judged, const engine_finish& finish)
+{
+    dependencies_.quality->set_rating_available(judged.has_value());
+    const bool good = judged && *judged == rating::good;
+    if (judged) {
+        dependencies_.quality->record_rating(*answering_version_, class_name(), good);
+    }
+    fallback_ = held_answer{*answering_version_, answer_, finish};
+    if (good) {
+        release_held();
+        return;
+    }
+    ++dependencies_.counters->cascaded;
+    dependencies_.explanations->add(request_.id, judged
+                                                     ? "Its answer was rated bad, so a stronger model answers."
+                                                     : "Its answer could not be rated, so a stronger model answers.");
+    begin_second_step();
+}
+
+void chat_run::begin_second_step()
+{
+    second_step_ = true;
+    answering_version_.reset();
+    answer_.clear();
+    delivered_tokens_ = 0;
+    attempt_first_token_ = 0;
+    excluded_.clear();
+    route();
+}
+
+/// Sends the held answer as a whole.
+void chat_run::release_held()
+{
+    const held_answer held = *std::exchange(fallback_, std::nullopt);
+    second_step_ = true;
+    answer_ = held.text;
+    delivered_tokens_ = held.finish.usage.completion.value();
+    send_head(held.version);
+    sink_.text({held.text, token_count{delivered_tokens_}});
+    plan_.reset();
+    bill_and_finish(held.finish.reason);
+}
+
+/// Ratings of answers that were not held teach the plans to come and the version guards.
+void chat_run::rate_afterwards()
+{
+    const bool rated = second_step_ && !plan_;
+    // The VM that ran the answer rates it, as its zone plans with what it learns.
+    if (remote_answer_ || rated || !answering_version_ || !dependencies_.rating.rate) {
+        return;
+    }
+    rating_request asked{request_.messages_json, answer_, *answering_version_, admitted_.request_class, rating_timeout};
+    answer_quality* quality = dependencies_.quality;
+    const version_id version = *answering_version_;
+    dependencies_.rating.rate(std::move(asked),
+                              [quality, version, request_class = class_name()](const outcome<rating>& judged) {
+                                  quality->set_rating_available(judged.has_value());
+                                  if (judged) {
+                                      quality->record_rating(version, request_class, *judged == rating::good);
+                                  }
+                              });
+}
+
 /// @return what an attempt's failure says about its server.
 static work_result result_of(const error& problem)
 {
@@ -435,7 +578,9 @@
 
 void chat_run::bill_and_finish(const std::string& finish_reason)
 {
-    dependencies_.outputs->record(class_id(), token_count{delivered_tokens_});
+    dependencies_.quality->record_traffic(request_.account.fleet, class_name(), prompt_tokens_,
+                                          token_count{delivered_tokens_});
+    rate_afterwards();
     const answer_end end{finish_reason, prompt_tokens_, token_count{delivered_tokens_}};
     const auto finish = [self = shared_from_this(), end] {
         if (self->closed_) {
@@ -475,6 +620,10 @@
     if (attempt_) {
         end_attempt(work_result::cancelled, problem.message);
     }
+    if (fallback_) {
+        release_held();
+        return;
+    }
     if (forward_cancel_) {
         forward_cancel_();
     }
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <agatespar/request/admission.h>
+#include <agatespar/request/answer_quality.h>
 #include <agatespar/request/chat_service.h>
 #include <agatespar/request/server_table.h>
 #include <agatespar/routing/decision.h>
@@ -35,10 +36,25 @@
         cancel_handle cancel;
     };
 
+    /// An answer that was held back and rated bad.
+    struct held_answer {
+        version_id version;
+        std::string text;
+        engine_finish finish;
+    };
+
     void open_session();
     void route();
     route_request make_route_request() const;
-    request_class_id class_id() const;
+    request_class_name class_name() const { return request_class_name{admitted_.request_class}; }
+    void make_plan();
+    version_set allowed_versions() const;
+    void take_text(std::string_view text, std::uint64_t end);
+    void rate(const engine_finish& finish);
+    void take_rating(const outcome<rating>& judged, const engine_finish& finish);
+    void begin_second_step();
+    void release_held();
+    void rate_afterwards();
     void explain(const outcome<decision>& result, const explanation& explained);
     void forward(const decision& chosen);
     answer_sink make_forward_sink();
@@ -68,6 +84,7 @@
     answer_sink sink_;
     bool forwarded_;
     bool closed_{false};
+    bool head_sent_{false};
     admitted_chat admitted_;
     session_state session_;
     trace_context trace_;
@@ -82,6 +99,13 @@
     cancel_handle forward_cancel_;
     std::optional<version_id> answering_version_;
     std::optional<version_id> moved_from_;
+    std::optional<serving_plan> plan_;
+    bool second_step_{false};
+    bool remote_answer_{false};
+    /// The whole answer so far, for its rating; a held one is not sent before.
+    std::string answer_;
+    /// The first step's answer, in case the second step fails.
+    std::optional<held_answer> fallback_;
     std::uint64_t delivered_tokens_{0};
     token_count prompt_tokens_;
     std::uint64_t attempt_first_token_{0};
--- a/lib/request/server_table.cpp
+++ b/lib/request/server_table.cpp
@@ -101,6 +101,13 @@
     move_average(speed.prefill_tokens_per_s, static_cast<double>(measure.prompt_tokens.value()) / prefill.count());
 }
 
+bool server_table::set_stopped_by_guard(const version_id& version, bool stopped)
+{
+    const bool changed = stopped ? stopped_by_guard_.insert(version).second : stopped_by_guard_.erase(version) > 0;
+    rebuild_needed_ = rebuild_needed_ || changed;
+    return changed;
+}
+
 const routing_view& server_table::view()
 {
     if (rebuild_needed_) {
@@ -237,6 +244,7 @@
         speeds_.push_back(is_known ? old_speeds[static_cast<std::size_t>(known - old_targets.begin())]
                                    : version_speed{});
         view_.versions.push_back(make_version_view(settings, model_index{model}, speeds_.back()));
+        view_.versions.back().stopped_by_guard = target.version && stopped_by_guard_.contains(*target.version);
         targets_.push_back(std::move(target));
     };
     for (const auto& [fleet, settings] : config_->fleets) {
