--- /dev/null
+++ b/unittests/request/chat_service_test.cpp
@@ -0,0 +1,226 @@
+// Tests of the life of chat requests: whole answers, resumes, cascades, refusals, and one bill each.
+#include "fake_request_path.h"
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+static engine_tokens tokens(std::uint64_t offset, const char* text)
+{
+    return {token_offset{offset}, token_count{1}, text};
+}
+
+static error broken_stream()
+{
+    return {error_code::unavailable, "the stream broke", run_state::outcome_unknown, std::nullopt};
+}
+
+SCENARIO("a request gets the whole answer and one bill")
+{
+    fake_request_path path;
+    const auto answer = path.send("strong");
+    REQUIRE(path.attempts.size() == 1);
+    path.last().callbacks.on_tokens(tokens(0, "a"));
+    path.last().callbacks.on_tokens(tokens(1, "b"));
+
+    WHEN("the end mark says as many tokens as came")
+    {
+        path.finish_last(2);
+        THEN("the caller has it all, once")
+        {
+            CHECK(answer->text == "ab");
+            REQUIRE(answer->end);
+            CHECK(answer->closings == 1);
+            CHECK(path.bills.size() == 1);
+            CHECK(path.bills[0].request == request_id{"request-1"});
+            CHECK(path.permits_out == 0);
+            CHECK(path.counters.running == 0);
+        }
+    }
+    WHEN("the end mark says more tokens than came")
+    {
+        path.finish_last(3);
+        path.loop.advance(3s);
+        THEN("the answer is not taken as whole: another attempt goes on behind what came")
+        {
+            CHECK(!answer->end);
+            REQUIRE(path.attempts.size() == 2);
+            CHECK(path.last().request.resume_from == token_offset{2});
+        }
+    }
+    WHEN("the caller goes away")
+    {
+        path.stop();
+        path.finish_last(2);
+        THEN("the attempt is cancelled, what ran is billed once, and nothing more is sent")
+        {
+            CHECK(path.last().cancelled);
+            CHECK(answer->closings == 0);
+            REQUIRE(path.bills.size() == 1);
+            CHECK(path.bills[0].result == usage_outcome::caller_gone);
+            CHECK(path.permits_out == 0);
+        }
+    }
+}
+
+SCENARIO("a broken stream goes on at its offset on the same version")
+{
+    fake_request_path path;
+    const auto answer = path.send("strong");
+    path.last().callbacks.on_tokens(tokens(0, "a"));
+    seen_attempt& first = path.last();
+    first.callbacks.on_error(broken_stream());
+    path.loop.advance(3s);
+    REQUIRE(path.attempts.size() == 2);
+    CHECK(path.last().request.resume_from == token_offset{1});
+    CHECK(path.last().request.server_url != first.request.server_url);
+    CHECK(path.last().request.attempt != first.request.attempt);
+
+    WHEN("events of the first attempt come late, and the second repeats a token")
+    {
+        first.callbacks.on_tokens(tokens(1, "LATE"));
+        first.callbacks.on_end({"stop", {}});
+        path.last().callbacks.on_tokens(tokens(0, "a"));
+        path.last().callbacks.on_tokens(tokens(1, "b"));
+        path.finish_last(2);
+        THEN("they are dropped and counted, and the answer is its own")
+        {
+            CHECK(answer->text == "ab");
+            CHECK(answer->closings == 1);
+            CHECK(path.counters.late_events_dropped == 2);
+            REQUIRE(path.bills.size() == 1);
+            CHECK(path.bills[0].attempts.size() == 2);
+        }
+    }
+    WHEN("the pieces do not follow each other")
+    {
+        path.last().callbacks.on_tokens(tokens(5, "f"));
+        path.loop.advance(3s);
+        THEN("they are not given to the caller")
+        {
+            CHECK(answer->text == "a");
+        }
+    }
+}
+
+SCENARIO("retries end with the budget or the deadline, and never close a request twice")
+{
+    fake_request_path path;
+    const auto answer = path.send("strong");
+    for (int i = 0; i < 40 && answer->closings == 0; ++i) {
+        path.last().callbacks.on_error(broken_stream());
+        path.loop.advance(3s);
+    }
+    REQUIRE(answer->failure);
+    CHECK(answer->closings == 1);
+    CHECK(answer->failure->ran == run_state::outcome_unknown);
+    CHECK(path.attempts.size() <= 4);
+    CHECK(path.bills.empty());
+    CHECK(path.unreserved == 1);
+    CHECK(path.permits_out == 0);
+}
+
+SCENARIO("a deadline that passes ends the request")
+{
+    fake_request_path path;
+    const auto answer = path.send("strong");
+    path.last().callbacks.on_tokens(tokens(0, "a"));
+    path.loop.advance(31s);
+    REQUIRE(answer->failure);
+    CHECK(answer->failure->code == error_code::deadline_exceeded);
+    CHECK(answer->failure->ran == run_state::outcome_unknown);
+    CHECK(path.last().cancelled);
+    CHECK(path.bills.size() == 1);
+}
+
+SCENARIO("refusals say not run and start nothing")
+{
+    fake_request_path path;
+    const auto refusal = [&](const std::shared_ptr<seen_answer>& answer) {
+        REQUIRE(answer->failure);
+        CHECK(answer->failure->ran == run_state::not_run);
+        CHECK(path.attempts.empty());
+        CHECK(path.bills.empty());
+        return answer->failure->code;
+    };
+    WHEN("the name is unknown")
+    {
+        CHECK(refusal(path.send("other")) == error_code::not_found);
+    }
+    WHEN("the class is unknown")
+    {
+        CHECK(refusal(path.send("strong", "none")) == error_code::not_found);
+    }
+    WHEN("the session token is forged")
+    {
+        path.session_token = "forged";
+        CHECK(refusal(path.send("strong")) == error_code::unauthenticated);
+    }
+    WHEN("too many bills wait for the log")
+    {
+        path.usage_has_room = false;
+        CHECK(refusal(path.send("strong")) == error_code::overloaded);
+    }
+}
+
+SCENARIO("a session keeps its version")
+{
+    fake_request_path path;
+    path.session_token = "good";
+    path.send("strong");
+    CHECK(path.last().request.version.model == model_name{"strong"});
+    CHECK(path.last().request.session == "s");
+}
+
+SCENARIO("an answer that may be held is tried by the cheap model and judged first")
+{
+    fake_request_path path;
+    GIVEN("a cheap model of which enough is known for a cascade to pay")
+    {
+        const version_id cheap{{path.fleet, model_name{"cheap"}}, version_name{"1"}};
+        const version_id strong{{path.fleet, model_name{"strong"}}, version_name{"1"}};
+        const request_class_name draft{"draft"};
+        for (int i = 0; i < 1000; ++i) {
+            path.quality.record_rating(cheap, draft, i % 10 < 7);
+            path.quality.record_rating(strong, draft, true);
+            path.quality.record_rating(cheap, request_class_name{"lookup"}, false);
+        }
+        path.quality.tick();
+        const auto answer = path.send("assistant", "draft");
+        REQUIRE(path.last().request.version.model == model_name{"cheap"});
+        path.last().callbacks.on_tokens(tokens(0, "quick"));
+        path.finish_last(1);
+        CHECK(!answer->head);
+
+        WHEN("it is rated good")
+        {
+            path.loop.advance(1s);
+            THEN("it is sent as it is")
+            {
+                CHECK(answer->text == "quick");
+                CHECK(answer->head->version == cheap);
+                CHECK(path.attempts.size() == 1);
+                CHECK(path.bills.size() == 1);
+            }
+        }
+        WHEN("it is rated bad, or the rating service is out")
+        {
+            path.next_rating = GENERATE(true, false) ? outcome<rating>{rating::bad}
+                                                     : outcome<rating>{failure(error_code::unavailable, "out")};
+            path.loop.advance(1s);
+            REQUIRE(path.attempts.size() == 2);
+            CHECK(path.last().request.version.model == model_name{"strong"});
+            CHECK(path.last().request.resume_from == token_offset{0});
+            path.last().callbacks.on_tokens(tokens(0, "thorough"));
+            path.finish_last(1);
+            THEN("the strong model's answer alone is sent, and one bill counts both")
+            {
+                CHECK(answer->text == "thorough");
+                CHECK(answer->head->version == strong);
+                REQUIRE(path.bills.size() == 1);
+                CHECK(path.bills[0].attempts.size() == 2);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/unittests/request/fake_request_path.h
@@ -0,0 +1,189 @@
+// A request path with fakes at its seams, on a manual clock.
+#pragma once
+
+#include <agatespar/kernel/manual_event_loop.h>
+#include <agatespar/request/answer_quality.h>
+#include <agatespar/request/chat_service.h>
+#include <agatespar/request/explain_store.h>
+#include <agatespar/request/server_table.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+/// What a caller saw of its answer.
+struct seen_answer {
+    std::optional<answer_head> head;
+    std::string text;
+    std::optional<answer_end> end;
+    std::optional<error> failure;
+    int closings{0};
+};
+
+/// One attempt that reached the fake engine.
+struct seen_attempt {
+    engine_request request;
+    engine_callbacks callbacks;
+    bool cancelled{false};
+};
+
+/// One fleet with a cheap and a strong model, three servers, and one client account.
+class fake_request_path {
+public:
+    fake_request_path()
+    {
+        set_up_configuration();
+        set_up_servers();
+        chat_dependencies parts;
+        parts.loop = &loop;
+        parts.servers = &table;
+        parts.random = &random;
+        parts.explanations = &explanations;
+        parts.spans = &spans;
+        parts.counters = &counters;
+        parts.engine.start_completion = [this](engine_request request, engine_callbacks callbacks) {
+            attempts.push_back(std::make_unique<seen_attempt>(seen_attempt{std::move(request), std::move(callbacks)}));
+            seen_attempt* attempt = attempts.back().get();
+            return cancel_handle{[attempt] { attempt->cancelled = true; }};
+        };
+        parts.permits.acquire = [this](const server_id&, bool,
+                                       const std::function<void(const outcome<permit>&)>& done) {
+            ++permits_out;
+            done(permit{});
+        };
+        parts.permits.release = [this](const permit&, const permit_result&) { --permits_out; };
+        parts.sessions.encode = [](const session_state& session, wall_time) {
+            return session.id + "|" + (session.pins.empty() ? "" : session.pins.back().version.value());
+        };
+        parts.sessions.decode = [this](std::string_view text, wall_time) -> outcome<session_state> {
+            if (text != "good") {
+                return failure(error_code::unauthenticated, "forged");
+            }
+            return session_state{"s", {pinned}};
+        };
+        parts.usage.reserve = [this] { return usage_has_room; };
+        parts.usage.unreserve = [this] { ++unreserved; };
+        parts.usage.settle = [this](usage_record record, const std::function<void()>& may_finish) {
+            bills.push_back(std::move(record));
+            may_finish();
+        };
+        parts.retries = &retries;
+        parts.quality = &quality;
+        parts.rating.rate = [this](rating_request request, rating_callback done) {
+            ratings.push_back(std::move(request));
+            loop.post([this, done = std::move(done)] { done(next_rating); });
+        };
+        service = std::make_unique<chat_service>(std::move(parts));
+    }
+
+    /// Sends a request of the account. @return the answer as it comes.
+    std::shared_ptr<seen_answer> send(const std::string& target, const std::string& request_class = "lookup")
+    {
+        chat_request request;
+        request.id = request_id{"request-" + std::to_string(++sent)};
+        request.account = {fleet, client_account_name{"front"}};
+        request.target = target;
+        request.request_class = request_class;
+        request.session_token = session_token;
+        request.messages_json = R"([{"role":"user","content":"?"}])";
+        auto seen = std::make_shared<seen_answer>();
+        answer_sink sink;
+        sink.start = [seen](const answer_head& head) { seen->head = head; };
+        sink.text = [seen](const answer_text& piece) { seen->text += piece.text; };
+        sink.finish = [seen](const answer_end& end) { seen->end = end, ++seen->closings; };
+        sink.fail = [seen](const error& problem) { seen->failure = problem, ++seen->closings; };
+        stop = service->run(std::move(request), std::move(sink), false);
+        return seen;
+    }
+
+    seen_attempt& last() { return *attempts.back(); }
+
+    /// Ends the last attempt after all its tokens were given.
+    void finish_last(std::uint64_t tokens)
+    {
+        last().callbacks.on_end({"stop", {token_count{10}, token_count{0}, token_count{tokens}}});
+    }
+
+    const fleet_name fleet{"f"};
+    manual_event_loop loop;
+    server_table table{zone_id{fleet_name{"f"}, zone_name{"z"}}};
+    std::mt19937_64 random{1};
+    explain_store explanations;
+    span_recorder spans{{}, 1};
+    request_counters counters;
+    retry_budget retries;
+    answer_quality quality{table, boot_id{1}};
+    std::unique_ptr<chat_service> service;
+    cancel_handle stop;
+    std::vector<std::unique_ptr<seen_attempt>> attempts;
+    std::vector<usage_record> bills;
+    std::vector<rating_request> ratings;
+    outcome<rating> next_rating{rating::good};
+    version_id pinned{{fleet_name{"f"}, model_name{"strong"}}, version_name{"1"}};
+    std::string session_token;
+    bool usage_has_room{true};
+    int unreserved{0};
+    int permits_out{0};
+    int sent{0};
+
+private:
+    void set_up_configuration()
+    {
+        auto config = std::make_shared<configuration>();
+        fleet_settings& settings = config->fleets[fleet];
+        settings.zones[zone_name{"z"}] = {};
+        const auto add_model = [&settings](const char* name, double price) {
+            version_settings version;
+            version.share = 1.0;
+            version.cost_per_1000_tokens = cost_units{price};
+            settings.models[model_name{name}].versions[version_name{"1"}] = version;
+        };
+        add_model("cheap", 1.0);
+        add_model("strong", 10.0);
+        settings.classes[request_class_name{"lookup"}] = {};
+        request_class_settings draft;
+        draft.may_hold = true;
+        draft.deadline = std::chrono::minutes{10};
+        settings.classes[request_class_name{"draft"}] = draft;
+        service_settings chat;
+        chat.models = {model_name{"cheap"}, model_name{"strong"}};
+        settings.services[service_name{"assistant"}] = chat;
+        client_account_settings account;
+        account.models = {{model_name{"cheap"}, {}}, {model_name{"strong"}, {}}};
+        account.services = {service_name{"assistant"}};
+        settings.accounts[client_account_name{"front"}] = account;
+        client_account_settings narrow;
+        narrow.models = {{model_name{"cheap"}, {}}};
+        settings.accounts[client_account_name{"narrow"}] = narrow;
+        table.apply_configuration(config);
+    }
+
+    void set_up_servers()
+    {
+        std::vector<vm_entry> entries;
+        for (const char* name : {"cheap-1", "strong-1", "strong-2"}) {
+            vm_entry entry;
+            entry.name = server_name{name};
+            entry.kind = vm_kind::engine;
+            entry.fleet = fleet;
+            entry.zone = zone_name{"z"};
+            entry.address = std::string{"http://"} + name;
+            entry.slots = 8;
+            entries.push_back(entry);
+        }
+        table.apply_vm_list(entries);
+        for (const vm_entry& entry : entries) {
+            const server_id id{entry.fleet, entry.name};
+            const bool cheap = entry.name == server_name{"cheap-1"};
+            table.apply_versions(id, {{model_name{cheap ? "cheap" : "strong"}, version_name{"1"}}});
+            table.apply_load(id, {8, 0, 0, true, loop.time().now()});
+        }
+        quality.apply_configuration();
+        quality.tick();
+    }
+};
+
+} // namespace agatespar
