Hold client accounts to their rates, and cut-off zones to their limit

Cause: the configuration's rates and cut-off limits were accepted and had no effect. Weighed: a shared bucket for each account (messages for each request) against each VM's equal share of the rate, which needs none and errs by the balancer's unevenness; the share was taken. Conclusion: a zone goes on serving services without a limit for as long as it is cut off.

--- a/include/agatespar/frontend/caller_api.h
+++ b/include/agatespar/frontend/caller_api.h
@@ -25,6 +25,8 @@
     std::function<void(const service_request&, service_callback)> look_up_outcome;
     /// Closes a key, so that no call of it can run any more.
     std::function<void(const service_request&, service_callback)> cancel_key;
+    /// @return overloaded if the account's rate is used up.
+    std::function<outcome<void>(const client_account_id&)> take_rate;
     /// Whether new work is taken; false while the VM is not ready or stopping.
     std::function<bool()> takes_work;
 };
--- a/include/agatespar/request/chat_service.h
+++ b/include/agatespar/request/chat_service.h
@@ -59,6 +59,8 @@
     session_codec sessions;
     forward_function forward;
     usage_account usage;
+    /// @return how long ago this VM last knew of the head of the configuration's log.
+    std::function<duration()> log_age;
     retry_budget* retries{nullptr};
     answer_quality* quality{nullptr};
     rating_service rating;
--- a/include/agatespar/request/service_run.h
+++ b/include/agatespar/request/service_run.h
@@ -34,6 +34,8 @@
     plain_service_client client;
     permit_source permits;
     usage_account usage;
+    /// @return how long ago this VM last knew of the head of the configuration's log.
+    std::function<duration()> log_age;
     forward_call_function forward;
     ledger_settings ledger;
 };
--- a/lib/frontend/caller_api.cpp
+++ b/lib/frontend/caller_api.cpp
@@ -195,6 +195,10 @@
         respond_error(*exchange, account.error(), id);
         return true;
     }
+    if (const auto taken = dependencies.take_rate(*account); !taken) {
+        respond_error(*exchange, taken.error(), id);
+        return true;
+    }
     if (is_chat) {
         handle_chat(dependencies, exchange, id, *std::move(account));
         return true;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <fstream>
 
 namespace agatespar {
@@ -69,7 +70,13 @@
         quality.apply_configuration();
         log_event(log_severity::info, "configuration_in_force", {{"number", changed->number.value()}});
     });
-    servers.listen([this](const std::vector<vm_entry>& entries) { zones.take_list(entries); });
+    servers.listen([this](const std::vector<vm_entry>& entries) {
+        zones.take_list(entries);
+        limits.set_vms(
+            static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [](const vm_entry& entry) {
+                return entry.kind == vm_kind::entry && entry.state == vm_state::live;
+            })));
+    });
     wire_requests();
     wire_interfaces();
     members.listen([this](const membership_event& event) {
@@ -115,7 +122,8 @@
                           servers.source(), make_session_codec(settings.session_secret),
                           [this](const zone_id& zone, const chat_request& request, duration remaining,
                                  const answer_sink& sink) { return forwards->send(zone, request, remaining, sink); },
-                          usage.account(), &retries, &quality, make_rating(settings, http.client())});
+                          usage.account(), [this] { return config.reader().contact_age(); }, &retries, &quality,
+                          make_rating(settings, http.client())});
     calls = service_dependencies{
         &loop,
         &table,
@@ -128,6 +136,7 @@
         make_http_plain_service(http.client()),
         servers.source(),
         usage.account(),
+        [this] { return config.reader().contact_age(); },
         [this](const zone_id& zone, const service_request& request, duration remaining, service_callback callback) {
             call_forwards->send(zone, request, remaining, std::move(callback));
         },
@@ -151,6 +160,10 @@
     caller_api.cancel_key = [this](const service_request& request, service_callback callback) {
         cancel_service_key(calls, request, std::move(callback));
     };
+    caller_api.take_rate = [this](const client_account_id& account) -> outcome<void> {
+        const client_account_settings* found = find_account(table.config(), account);
+        return found == nullptr ? outcome<void>{} : limits.take(account, *found, loop.time().now());
+    };
     caller_api.takes_work = [this] { return config.reader().ready() && servers.ready(); };
     operator_api.key_hashes = settings.operator_key_hashes;
     operator_api.ready = [this] { return is_ready(); };
--- a/lib/node/node_services.h
+++ b/lib/node/node_services.h
@@ -15,6 +15,7 @@
 #include <agatespar/node/usage_service.h>
 #include <agatespar/node/zone_service.h>
 #include <agatespar/platform/soup_http_client.h>
+#include <agatespar/request/account_limits.h>
 #include <agatespar/request/answer_quality.h>
 #include <agatespar/request/call_forwarding.h>
 #include <agatespar/request/chat_service.h>
@@ -70,6 +71,7 @@
     retry_budget retries;
     server_table table;
     answer_quality quality;
+    account_limits limits;
     membership_service members;
     config_service config;
     server_service servers;
--- /dev/null
+++ b/lib/request/account_limits.cpp
@@ -0,0 +1,32 @@
+// Token buckets of client accounts.
+#include <agatespar/request/account_limits.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+outcome<void> account_limits::take(const client_account_id& account, const client_account_settings& settings,
+                                   steady_time now)
+{
+    if (!settings.rate) {
+        buckets_.erase(account);
+        return {};
+    }
+    const double rate = settings.rate->requests_per_second / static_cast<double>(vms_);
+    // A share of less than one request would never let a burst of one through.
+    const double burst = std::max(1.0, settings.rate->burst / static_cast<double>(vms_));
+    const auto [entry, inserted] = buckets_.try_emplace(account, bucket{burst, now});
+    bucket& held = entry->second;
+    const double elapsed = std::chrono::duration<double>(now - held.filled).count();
+    held.tokens = std::min(burst, held.tokens + elapsed * rate);
+    held.filled = now;
+    if (held.tokens >= 1.0) {
+        held.tokens -= 1.0;
+        return {};
+    }
+    const std::chrono::duration<double> wait{(1.0 - held.tokens) / rate};
+    return tl::make_unexpected(error{error_code::overloaded, "the client account's rate is used up", run_state::not_run,
+                                     std::chrono::ceil<std::chrono::milliseconds>(wait)});
+}
+
+} // namespace agatespar
--- a/lib/request/admission.cpp
+++ b/lib/request/admission.cpp
@@ -64,13 +64,27 @@
     return found->second;
 }
 
-outcome<admitted_chat> admit_chat(const chat_request& request, const server_table& servers)
+outcome<void> check_cut_off(const service_settings& service, duration log_age)
+{
+    if (!service.cut_off_limit || log_age <= *service.cut_off_limit) {
+        return {};
+    }
+    return failure(error_code::unavailable, "the zone is cut off for longer than the service takes new work");
+}
+
+outcome<admitted_chat> admit_chat(const chat_request& request, const server_table& servers, duration log_age)
 {
     const client_account_settings* account = find_account(servers.config(), request.account);
     const fleet_settings* fleet = find_fleet(servers.config(), request.account.fleet);
     if (account == nullptr || fleet == nullptr) {
         return failure(error_code::unauthenticated, "the client account does not exist any more");
     }
+    const auto service = fleet->services.find(service_name{request.target});
+    if (service != fleet->services.end()) {
+        if (auto cut_off = check_cut_off(service->second, log_age); !cut_off) {
+            return tl::make_unexpected(cut_off.error());
+        }
+    }
     admitted_chat admitted;
     auto allowed = resolve_target(request, *fleet, *account);
     if (!allowed) {
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -35,7 +35,7 @@
     const auto parent = parse_traceparent(request_.traceparent);
     trace_ = parent ? dependencies_.spans->start_child(*parent) : dependencies_.spans->start_trace();
     trace_parent_ = parent ? parent->span : span_id{};
-    auto admitted = admit_chat(request_, *dependencies_.servers);
+    auto admitted = admit_chat(request_, *dependencies_.servers, dependencies_.log_age());
     if (!admitted) {
         fail(admitted.error());
         return;
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -1,5 +1,6 @@
 // The life of one plain-service call: admission, claim, routing, dispatch, outcome and bill.
 #include <agatespar/ledger/key_age.h>
+#include <agatespar/request/admission.h>
 #include <agatespar/request/explain_store.h>
 #include <agatespar/request/server_table.h>
 #include <agatespar/request/service_run.h>
@@ -108,7 +109,7 @@
         return failure(error_code::not_found, "the service has no method of this name");
     }
     idempotent_ = method->second.idempotent;
-    return {};
+    return check_cut_off(*service, dependencies_.log_age());
 }
 
 /// A key that the caller gave may come a second time; one that stands for this request alone can't.
--- a/unittests/request/chat_service_test.cpp
+++ b/unittests/request/chat_service_test.cpp
@@ -157,6 +157,11 @@
         path.session_token = "forged";
         CHECK(refusal(path.send("strong")) == error_code::unauthenticated);
     }
+    WHEN("the zone is cut off for longer than the service takes new work")
+    {
+        path.log_age = 6min;
+        CHECK(refusal(path.send("assistant")) == error_code::unavailable);
+    }
     WHEN("too many bills wait for the log")
     {
         path.usage_has_room = false;
--- a/unittests/request/fake_request_path.h
+++ b/unittests/request/fake_request_path.h
@@ -70,6 +70,7 @@
             bills.push_back(std::move(record));
             may_finish();
         };
+        parts.log_age = [this] { return log_age; };
         parts.retries = &retries;
         parts.quality = &quality;
         parts.rating.rate = [this](rating_request request, rating_callback done) {
@@ -124,6 +125,7 @@
     outcome<rating> next_rating{rating::good};
     version_id pinned{{fleet_name{"f"}, model_name{"strong"}}, version_name{"1"}};
     std::string session_token;
+    duration log_age{0};
     bool usage_has_room{true};
     int unreserved{0};
     int permits_out{0};
@@ -149,6 +151,7 @@
         draft.deadline = std::chrono::minutes{10};
         settings.classes[request_class_name{"draft"}] = draft;
         service_settings chat;
+        chat.cut_off_limit = std::chrono::minutes{5};
         chat.models = {model_name{"cheap"}, model_name{"strong"}};
         settings.services[service_name{"assistant"}] = chat;
         client_account_settings account;
