Say not run of a caller's key only when it is proven, and bill a repeat once

Cause: a review of the ledger's arguments against the running path found four faults. A refusal after the claim, or before it, said not run although an earlier submission of the key may have run. A repeat through another zone was billed under its own id. Each zone's owners appended every 100 ms whatever the number of zones. Owners that a passing difference of views had started stayed idle until the next change of members. Ruled out: to trust a caller's key as fresh by its age alone, as a caller may send a fresh key twice.

--- a/include/agatespar/node/ledger_service.h
+++ b/include/agatespar/node/ledger_service.h
@@ -22,6 +22,12 @@
     ledger_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
                    membership_service& members, ledger_settings settings);
 
+    ledger_service(const ledger_service&) = delete;
+    ledger_service& operator=(const ledger_service&) = delete;
+    ~ledger_service();
+
+    /// Sets how many zones share the log's rate of appends, each with owners of its own.
+    void set_zones(std::size_t count);
     claim_client& client() { return client_; }
     /// @return claims and outcomes that are not yet safe in the log; a planned stop waits for zero.
     std::size_t unfinished() const;
@@ -30,6 +36,8 @@
 private:
     /// Starts owners of partitions that fell to this VM and ends idle ones that fell to another.
     void follow_members();
+    void drop_idle_owners(bool own_too);
+    void follow_regularly();
     void send(ledger_partition partition, unsigned attempt, const ledger_request& request);
     void serve(ledger_partition partition, const ledger_request& request, claim_owner::reply_function reply);
     void take_request(const frame& received);
@@ -42,6 +50,7 @@
     ledger_settings settings_;
     claim_client client_;
     std::map<ledger_partition, std::unique_ptr<claim_owner>> owners_;
+    timer_id timer_;
 };
 
 } // namespace agatespar
--- a/include/agatespar/request/messages.h
+++ b/include/agatespar/request/messages.h
@@ -76,9 +76,11 @@
     std::string body;
     bool has_key{false};
     idempotency_key key;
+    bool first_submission{false};
     std::string key_time;
     std::string traceparent;
-    MSGPACK_DEFINE_ARRAY(forward, request, account, service, method, body, has_key, key, key_time, traceparent)
+    MSGPACK_DEFINE_ARRAY(forward, request, account, service, method, body, has_key, key, first_submission, key_time,
+                         traceparent)
 };
 
 /// The answer of a forwarded call, or its failure.
@@ -87,11 +89,12 @@
     bool failed{false};
     std::string body;
     bool repeated{false};
+    request_id ran_as;
     std::uint8_t code{0};
     std::string message;
     std::uint8_t ran{0};
     std::int64_t retry_after_ms{-1};
-    MSGPACK_DEFINE_ARRAY(forward, failed, body, repeated, code, message, ran, retry_after_ms)
+    MSGPACK_DEFINE_ARRAY(forward, failed, body, repeated, ran_as, code, message, ran, retry_after_ms)
 };
 
 } // namespace agatespar
--- a/include/agatespar/request/request.h
+++ b/include/agatespar/request/request.h
@@ -51,6 +51,8 @@
     std::string body;
     /// Required for methods that are not idempotent.
     std::optional<idempotency_key> key;
+    /// The caller says that it never sent the key before, so that a refusal can be proven to be "not run".
+    bool first_submission{false};
     /// When the caller made the key, as the caller states it; empty if the key itself shows it.
     std::string key_time;
     std::string traceparent;
@@ -92,6 +94,8 @@
     std::string body;
     /// Whether this is the recorded answer of an earlier request with the same key.
     bool repeated{false};
+    /// The request that ran, under whose id it is billed.
+    request_id ran_as;
 };
 
 using service_callback = std::function<void(outcome<service_answer>)>;
--- a/lib/frontend/caller_api.cpp
+++ b/lib/frontend/caller_api.cpp
@@ -123,6 +123,7 @@
     request.body = exchange.body();
     request.key_time = exchange.header("Idempotency-Time").value_or("");
     request.traceparent = exchange.header("traceparent").value_or("");
+    request.first_submission = exchange.header("Idempotency-First") == "true";
     if (const auto key = exchange.header("Idempotency-Key")) {
         if (key->empty() || key->size() > max_key_length) {
             return failure(error_code::invalid_argument, "header Idempotency-Key must have 1 to 128 characters");
--- a/lib/node/ledger_service.cpp
+++ b/lib/node/ledger_service.cpp
@@ -4,12 +4,14 @@
 #include <agatespar/node/membership_service.h>
 #include <agatespar/node/message_router.h>
 
+#include <algorithm>
 #include <variant>
 
 namespace agatespar {
 
 // The candidates that a client tries in turn for one partition.
 static constexpr std::size_t owner_candidates = 3;
+static constexpr std::chrono::seconds owner_check_interval{10};
 
 static std::uint64_t key_of(ledger_partition partition)
 {
@@ -35,6 +37,29 @@
             follow_members();
         }
     });
+    follow_regularly();
+}
+
+ledger_service::~ledger_service()
+{
+    loop_.cancel(timer_);
+}
+
+void ledger_service::set_zones(std::size_t count)
+{
+    const auto interval = append_interval_for(std::max<std::size_t>(count, 1));
+    if (interval == settings_.append_interval) {
+        return;
+    }
+    settings_.append_interval = interval;
+    drop_idle_owners(true);
+    follow_members();
+}
+
+/// A request that came while another VM's view differed leaves an owner behind that nobody needs.
+void ledger_service::follow_regularly()
+{
+    timer_ = loop_.schedule(owner_check_interval, [this] { follow_regularly(); });
     follow_members();
 }
 
@@ -54,13 +79,18 @@
         const ledger_partition partition{number};
         if (owner_of(key_of(partition), owners) == members_.members().self()) {
             owner_of_partition(partition);
-            continue;
-        }
-        const auto held = owners_.find(partition);
-        if (held != owners_.end() && held->second->waiting() == 0) {
-            owners_.erase(held);
         }
     }
+    drop_idle_owners(false);
+}
+
+void ledger_service::drop_idle_owners(bool own_too)
+{
+    const auto owners = members_.members().owners();
+    std::erase_if(owners_, [&](const auto& entry) {
+        const bool own = owner_of(key_of(entry.first), owners) == members_.members().self();
+        return (own_too || !own) && entry.second->waiting() == 0;
+    });
 }
 
 claim_owner& ledger_service::owner_of_partition(ledger_partition partition)
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <set>
 
 namespace agatespar {
 
@@ -23,6 +24,18 @@
 // The last messages of a stopping VM get this long to leave the process.
 static constexpr std::chrono::milliseconds farewell_time{200};
 
+/// @return the number of zones that have entry VMs.
+static std::size_t count_zones(const std::vector<vm_entry>& entries)
+{
+    std::set<zone_id> zones;
+    for (const vm_entry& entry : entries) {
+        if (entry.kind == vm_kind::entry) {
+            zones.insert({entry.fleet, entry.zone});
+        }
+    }
+    return zones.size();
+}
+
 static rating_service make_rating(const node_settings& settings, const http_client& client)
 {
     return settings.rating_url.empty() ? rating_service{} : make_http_rating_service(client, settings.rating_url);
@@ -72,6 +85,7 @@
     });
     servers.listen([this](const std::vector<vm_entry>& entries) {
         zones.take_list(entries);
+        ledger.set_zones(count_zones(entries));
         limits.set_vms(
             static_cast<std::size_t>(std::count_if(entries.begin(), entries.end(), [](const vm_entry& entry) {
                 return entry.kind == vm_kind::entry && entry.state == vm_state::live;
--- a/lib/request/call_forwarding.cpp
+++ b/lib/request/call_forwarding.cpp
@@ -6,16 +6,19 @@
 
 static forward_call_message to_message(std::uint64_t id, const service_request& request)
 {
-    return {id,
-            request.id,
-            request.account,
-            request.service,
-            request.method,
-            request.body,
-            request.key.has_value(),
-            request.key.value_or(idempotency_key{}),
-            request.key_time,
-            request.traceparent};
+    forward_call_message message;
+    message.forward = id;
+    message.request = request.id;
+    message.account = request.account;
+    message.service = request.service;
+    message.method = request.method;
+    message.body = request.body;
+    message.has_key = request.key.has_value();
+    message.key = request.key.value_or(idempotency_key{});
+    message.first_submission = request.first_submission;
+    message.key_time = request.key_time;
+    message.traceparent = request.traceparent;
+    return message;
 }
 
 static service_request to_request(forward_call_message&& message)
@@ -29,6 +32,7 @@
     if (message.has_key) {
         request.key = std::move(message.key);
     }
+    request.first_submission = message.first_submission;
     request.key_time = std::move(message.key_time);
     request.traceparent = std::move(message.traceparent);
     return request;
@@ -66,7 +70,7 @@
         finish(answer->forward, tl::make_unexpected(get_error(*answer)));
         return;
     }
-    finish(answer->forward, service_answer{answer->body, answer->repeated});
+    finish(answer->forward, service_answer{answer->body, answer->repeated, answer->ran_as});
 }
 
 void call_forwarding::take_call(const frame& received)
@@ -83,6 +87,7 @@
         if (answer) {
             reply.body = answer->body;
             reply.repeated = answer->repeated;
+            reply.ran_as = answer->ran_as;
         }
         else {
             set_error(reply, answer.error());
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -49,6 +49,7 @@
     void repeat(const stored_outcome& first);
     void retry_or_fail(const error& problem);
     void settle(const request_id& billed, const std::function<void()>& may_finish);
+    bool may_say_not_run() const;
     void fail(error problem);
     void finish(outcome<service_answer> result);
     steady_time now() const { return dependencies_.loop->time().now(); }
@@ -66,6 +67,8 @@
     std::uint32_t attempts_{0};
     /// Whether some attempt may have reached a backend server.
     bool may_have_run_{false};
+    /// Whether the ledger proved that no submission of the key ran.
+    bool proven_not_run_{false};
     trace_context trace_;
     wall_time started_;
 };
@@ -128,7 +131,7 @@
     order.request = request_.id;
     const std::string content = request_.service.value() + "\n" + request_.method + "\n" + request_.body;
     order.fingerprint = request_fingerprint{stable_hash(content)};
-    order.sent = own_key ? submission::first : submission::possibly_repeated;
+    order.sent = own_key || request_.first_submission ? submission::first : submission::possibly_repeated;
     order.patience = std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - now());
     const auto self = shared_from_this();
     dependencies_.claims->claim(order, [self](outcome<claim_result> result) { self->take_claim(std::move(result)); });
@@ -137,6 +140,7 @@
 void service_run::take_claim(outcome<claim_result>&& result)
 {
     if (!result) {
+        proven_not_run_ = result.error().ran == run_state::not_run;
         wait_or_fail(result.error());
         return;
     }
@@ -198,10 +202,11 @@
     dependencies_.forward(zone, request_, deadline_ - now(), [self](outcome<service_answer> answer) {
         if (!answer) {
             self->may_have_run_ = answer.error().ran != run_state::not_run;
+            self->proven_not_run_ = !self->may_have_run_;
             self->fail(answer.error());
             return;
         }
-        self->settle(self->request_.id, [self, answer] { self->finish(answer); });
+        self->settle(answer->ran_as, [self, answer] { self->finish(answer); });
     });
 }
 
@@ -290,7 +295,9 @@
         stored_outcome result{request_.id, answered_status, "application/json", answer.body, false};
         dependencies_.claims->record_outcome(*claim_, std::move(result));
     }
-    settle(request_.id, [self = shared_from_this(), body = answer.body] { self->finish(service_answer{body, false}); });
+    settle(request_.id, [self = shared_from_this(), body = answer.body] {
+        self->finish(service_answer{body, false, self->request_.id});
+    });
 }
 
 /// The first run may have died before its bill, so a repeat bills under the first run's id; the fold drops the second.
@@ -301,7 +308,7 @@
             self->fail({error_code::conflict, "the call ran; its answer was too large to be kept", run_state::ran, {}});
             return;
         }
-        self->finish(service_answer{first.body, true});
+        self->finish(service_answer{first.body, true, first.request});
     });
 }
 
@@ -334,6 +341,13 @@
     dependencies_.usage.settle(std::move(bill), may_finish);
 }
 
+/// An earlier submission of the caller's key may have run, or may still run, whatever became of this one.
+bool service_run::may_say_not_run() const
+{
+    const bool other_submissions = !idempotent_ && request_.key && !request_.first_submission;
+    return !may_have_run_ && (!other_submissions || proven_not_run_);
+}
+
 void service_run::fail(error problem)
 {
     if (claim_) {
@@ -345,7 +359,7 @@
         reserved_ = false;
         dependencies_.usage.unreserve();
     }
-    if (may_have_run_ && problem.ran == run_state::not_run) {
+    if (problem.ran == run_state::not_run && !may_say_not_run()) {
         problem.ran = run_state::outcome_unknown;
     }
     dependencies_.explanations->add(request_.id, "The call was refused: " + problem.message + ".");
@@ -381,7 +395,7 @@
 {
     switch (report.state) {
     case ledger_verdict::finished:
-        return service_answer{report.result.body, true};
+        return service_answer{report.result.body, true, report.result.request};
     case ledger_verdict::cancelled:
         return failure(error_code::not_found, "the key is closed and no call of it ran or will run");
     case ledger_verdict::not_claimed:
