--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -2,6 +2,10 @@
 #include "node_services.h"
 
 #include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <ctime>
+#include <fstream>
 
 namespace agatespar {
 
@@ -162,8 +166,27 @@
         .set(static_cast<double>(outbox.pending()));
 }
 
+/// @return the process's resident bytes; zero where the system does not tell.
+static double resident_bytes()
+{
+    std::ifstream statistics{"/proc/self/statm"};
+    double all_pages = 0;
+    double resident_pages = 0;
+    statistics >> all_pages >> resident_pages;
+    return resident_pages * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+static void show_process(metrics_registry& metrics)
+{
+    metrics.make_gauge("agatespar_process_cpu_seconds", "Processor time of this process since its start.")
+        .set(static_cast<double>(std::clock()) / CLOCKS_PER_SEC);
+    metrics.make_gauge("agatespar_process_resident_bytes", "Resident memory of this process, libraries included.")
+        .set(resident_bytes());
+}
+
 std::string node::impl::render_metrics()
 {
+    show_process(metrics);
     show_requests(metrics, counters);
     show_peer_traffic(metrics, *carrier);
     show_config(metrics, config.reader());
