Test at most one run of a booking when VMs, the log and servers fail

Entry VMs are killed while a claim is pending, while the server has not read the call, while it works, and after the answer before the bill; callers repeat the key through another VM. A holder of claims is paused past their 30 s and woken, half of the log's answers are lost, and the log is down and comes back.

One run failed in the harness: a stand-in's port file was read half written, so the harness now waits for its whole line.

--- /dev/null
+++ b/test/at_most_once_test.py
@@ -0,0 +1,172 @@
+"""Non-idempotent calls run at most once, and callers are told the truth, when VMs, the log and servers fail."""
+
+import os
+import unittest
+
+from harness.fleet import Fleet, new_key
+from harness.processes import Background, wait_until
+
+ORDERS = "kovacic-orders-1"
+
+
+class CallersCase(unittest.TestCase):
+    """A zone whose entry VMs are killed and replaced, and callers who repeat their keys."""
+
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
+        self.fleet.start_one_zone("vm-1", "vm-2")
+        self.told = {}
+
+    def runs(self, key):
+        return self.fleet.counts(ORDERS)["runs"].get(key, 0)
+
+    def book(self, name, key):
+        """Sends a booking and notes what its caller is told."""
+        answer = self.fleet.service(name, "narudzbe/book", {"order": key}, idempotency_key=key, timeout=180)
+        if answer.status != 200 and answer.error()["ran"] == "not_run":
+            # Nothing else sends this key meanwhile, so what ran by now ran before the answer.
+            self.assertEqual(self.runs(key), 0, "told not_run of a call that ran: " + answer.body)
+        self.told.setdefault(key, []).append(answer)
+        return answer
+
+    def book_in_background(self, name, key):
+        return Background(lambda: self.book(name, key))
+
+    def check(self, key):
+        """At most one run, and each caller who got an answer got that of the run."""
+        self.assertLessEqual(self.runs(key), 1, "the call ran twice")
+        bodies = {answer.body for answer in self.told.get(key, []) if answer.status == 200}
+        self.assertLessEqual(len(bodies), 1, "two callers of one key got different answers")
+        if bodies:
+            self.assertEqual(self.runs(key), 1, "an answer without a run")
+
+
+class WhenAnEntryVmIsKilled(CallersCase):
+    def test_each_step_of_a_call_leaves_at_most_one_run(self):
+        steps = {
+            "while its claim is pending": self.die_before_the_claim,
+            "while the server has not read the call": self.die_with_an_unread_call,
+            "while the server works": self.die_while_it_runs,
+            "after the answer, before the bill": self.die_after_the_answer,
+        }
+        repeats = []
+        for number, (step, die) in enumerate(steps.items()):
+            victim = f"victim-{number}"
+            self.fleet.start_daemon("kovacic", "centre", victim)
+            self.fleet.wait_serving(victim, servers=2)
+            key = new_key()
+            die(victim, key)
+            self.fleet.forget_daemon(victim)
+            repeats.append((step, key, self.book_in_background("vm-2", key)))
+        for step, key, repeat in repeats:
+            with self.subTest(killed=step):
+                self.assertIsNotNone(repeat.wait(), f"the repeat failed: {repeat.problem!r}")
+                self.check(key)
+        with self.subTest("the others serve on"):
+            key = new_key()
+            self.assertEqual(self.book("vm-1", key).status, 200)
+            self.check(key)
+
+    def die_before_the_claim(self, victim, key):
+        self.fleet.faults("log", delay_ms=1500)
+        self.book_in_background(victim, key)
+        wait_until(lambda: self.fleet.running(victim) == 1, "the call to start")
+        self.fleet.processes[victim].kill()
+        self.fleet.faults("log", delay_ms=0)
+
+    def die_with_an_unread_call(self, victim, key):
+        self.fleet.processes[ORDERS].pause()
+        self.book_in_background(victim, key)
+        wait_until(lambda: self.fleet.status(victim)["requests"]["attempts"] == 1, "the call to be sent")
+        self.fleet.processes[victim].kill()
+        self.fleet.processes[ORDERS].resume()
+
+    def die_while_it_runs(self, victim, key):
+        self.fleet.faults(ORDERS, delay_ms=1000)
+        self.book_in_background(victim, key)
+        wait_until(lambda: self.runs(key) == 1, "the call to run")
+        self.fleet.processes[victim].kill()
+        self.fleet.faults(ORDERS, delay_ms=0)
+
+    def die_after_the_answer(self, victim, key):
+        self.fleet.faults("log", delay_ms=500)
+        first = self.book(victim, key)
+        self.assertEqual(first.status, 200, first.body)
+        self.fleet.processes[victim].kill()
+        self.fleet.faults("log", delay_ms=0)
+
+
+class WhenTheHolderOfAClaimIsPaused(CallersCase):
+    def test_a_holder_that_wakes_after_its_claim_expired_runs_nothing_twice(self):
+        self.fleet.faults("log", delay_ms=1500)
+        keys = [new_key() for _ in range(4)]
+        first = [self.book_in_background("vm-1", key) for key in keys]
+        wait_until(lambda: self.fleet.running("vm-1") == len(keys), "the calls to start")
+        self.fleet.processes["vm-1"].pause()
+        self.fleet.faults("log", delay_ms=0)
+        # The claims live for 30 s; repeats go on until none of them is told that the first still holds its key.
+        for key in keys:
+            self.repeat_until_settled("vm-2", key)
+        self.fleet.processes["vm-1"].resume()
+        for caller in first:
+            caller.wait()
+            self.assertIsNone(caller.problem, f"a paused call got no answer: {caller.problem!r}")
+        wait_until(lambda: self.fleet.running("vm-1") == 0, "the paused VM to end its calls")
+        for key in keys:
+            self.check(key)
+
+    def repeat_until_settled(self, name, key):
+        def settled():
+            answer = self.book(name, key)
+            return answer.status == 200 or answer.error()["code"] == "outcome_unknown"
+
+        wait_until(settled, "a settled answer", patience=120)
+
+
+class WhenAnswersOfTheLogAreLost(CallersCase):
+    def test_repeated_keys_run_at_most_once_and_agree(self):
+        self.fleet.faults("log", lost_answers=0.5)
+        keys = [new_key() for _ in range(12)]
+        callers = [Background(lambda key=key: self.repeat(key)) for key in keys]
+        for key, caller in zip(keys, callers):
+            caller.wait()
+            self.assertIsNone(caller.problem, f"a repeat failed: {caller.problem!r}")
+            self.check(key)
+        self.fleet.faults("log", lost_answers=0)
+        for key in keys:
+            last = self.book("vm-1", key)
+            self.check(key)
+            if any(answer.status == 200 for answer in self.told[key][:-1]):
+                self.assertEqual(last.status, 200, "an answered key lost its outcome: " + last.body)
+
+    def repeat(self, key):
+        for name in ("vm-1", "vm-2", "vm-1"):
+            self.book(name, key)
+
+
+class WhenTheLogIsDown(CallersCase):
+    def test_bookings_are_refused_truly_while_chat_goes_on(self):
+        self.fleet.faults("log", down=True)
+        keys = [new_key() for _ in range(3)]
+        callers = [self.book_in_background(name, key) for name, key in zip(("vm-1", "vm-2", "vm-1"), keys)]
+        chat = self.fleet.chat("vm-1", "Which finish suits oak?")
+        self.assertEqual(chat.status, 200, chat.body)
+        found = self.fleet.service("vm-2", "narudzbe/look_up", {"order": 7})
+        self.assertEqual(found.status, 200, found.body)
+        for key, caller in zip(keys, callers):
+            answer = caller.wait()
+            self.assertIsNotNone(answer, f"the booking got no answer: {caller.problem!r}")
+            self.assertNotEqual(answer.status, 200, "a booking ran without a claim in the log")
+            self.assertIn(answer.error()["ran"], ("not_run", "outcome_unknown"))
+            self.assertEqual(self.runs(key), 0)
+        self.fleet.faults("log", down=False)
+        for key in keys:
+            self.check_that_it_works_again(key)
+
+    def check_that_it_works_again(self, key):
+        wait_until(lambda: self.book("vm-2", key).status == 200, "a booking after the log came back", patience=120)
+        self.check(key)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/utils/harness/fleet.py
+++ b/utils/harness/fleet.py
@@ -131,6 +131,41 @@
             print(f"--- {name} ({'running' if process.running() else process.child.returncode})")
             print("\n".join(process.read_log().splitlines()[-15:]))
 
+    def start_one_zone(self, *vms, engines=1):
+        """Starts one zone with a plain service, engines that hold both models, and entry VMs that serve."""
+        self.start_platform()
+        for number in range(1, engines + 1):
+            self.start_engine("kovacic", "centre", f"engine-{number}", "small@1,large@1")
+        self.start_plain("kovacic", "centre", "orders-1", "narudzbe")
+        code, output = self.patch(two_fleets_operations(), 0)
+        assert code == 0, output
+        for name in vms:
+            self.start_daemon("kovacic", "centre", name)
+        self.wait_serving(*vms, servers=engines + 1)
+
+    def wait_serving(self, *vms, servers):
+        """Waits until entry VMs are ready, follow the first configuration and see their servers."""
+        self.wait_ready(vms)
+        self.wait_config(1, vms)
+        for name in vms:
+            self.wait_servers(name, servers)
+
+    def kill_daemon(self, name):
+        """Kills an entry VM and takes it off the VM list, as the platform does."""
+        self.processes[name].kill()
+        self.forget_daemon(name)
+
+    def running(self, name):
+        """How many requests an entry VM has in hand."""
+        return self.status(name)["requests"]["running"]
+
+    def billed(self, account):
+        """How many requests are billed to an account FLEET/NAME, and how many bills came twice."""
+        code, output = self.control("usage", "--json")
+        assert code == 0, output
+        totals = json.loads(output)
+        return totals["accounts"].get(account, {"requests": 0})["requests"], totals["duplicates"]
+
     def start(self, name, program, arguments, environment=None):
         port_file = os.path.join(self.folder, name + ".port")
         command = [os.path.join(self.bin, program), *arguments, "--port-file=" + port_file]
@@ -194,7 +229,7 @@
     def publish_vms(self):
         call(self.platform["vms"], "POST", "/admin/vms", {"vms": self.vms})
 
-    def start_daemon(self, fleet, zone, name, *arguments, **extra_environment):
+    def start_daemon(self, fleet, zone, name, *arguments, notice_time=0.3, **extra_environment):
         """Starts an entry VM and puts it on the VM list."""
         environment = {
             "AGATESPAR_VM_KEY": VM_KEY,
@@ -211,7 +246,7 @@
             "--vm-list-url=http://" + self.platform["vms"],
             "--rating-url=http://" + self.platform["rating"],
             "--weight-store-url=http://" + self.platform["weights"],
-            "--notice-time=0.3",
+            f"--notice-time={notice_time}",
             *arguments,
         ]
         process = self.start(name, "agatespard", flags, environment)
@@ -307,3 +342,12 @@
     """Whether a chat answer is the whole answer to the prompt: the stand-in's answers start and end with a bracket."""
     text = answer.json()["choices"][0]["message"]["content"]
     return text.startswith("[") and text.endswith(prompt[-64:] + "]")
+
+
+def streamed_text(answer):
+    """The text of a streamed answer, or None if the answer has no end mark."""
+    events = [line[len("data: ") :] for line in answer.body.splitlines() if line.startswith("data: ")]
+    if not events or events[-1] != "[DONE]":
+        return None
+    documents = [json.loads(event) for event in events[:-1]]
+    return "".join(document["choices"][0]["delta"].get("content", "") for document in documents)
--- a/utils/harness/processes.py
+++ b/utils/harness/processes.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import subprocess
+import threading
 import time
 
 
@@ -56,12 +57,19 @@
     def read_ports(self):
         """Returns what the process wrote to its port file, once it has started."""
         path = self.port_file
-        wait_until(lambda: os.path.exists(path) or not self.running(), "the start of " + self.name)
-        if not os.path.exists(path):
+        wait_until(lambda: self._has_ports() or not self.running(), "the start of " + self.name)
+        if not self._has_ports():
             raise RuntimeError(self.name + " ended at the start:\n" + self.read_log())
         with open(path, encoding="utf-8") as file:
             return json.load(file)
 
+    def _has_ports(self):
+        """Whether the port file is there and whole: its line may be half written."""
+        if not os.path.exists(self.port_file):
+            return False
+        with open(self.port_file, encoding="utf-8") as file:
+            return file.read().endswith("\n")
+
     def read_log(self):
         with open(self.log_path, encoding="utf-8", errors="replace") as log:
             return log.read()
@@ -76,6 +84,27 @@
         time.sleep(0.02)
 
 
+class Background:
+    """Work on a thread of its own, such as a caller that waits for its answer."""
+
+    def __init__(self, work):
+        self.result = None
+        self.problem = None
+        self.thread = threading.Thread(target=self._run, args=(work,), daemon=True)
+        self.thread.start()
+
+    def _run(self, work):
+        try:
+            self.result = work()
+        except Exception as problem:  # The caller reads what went wrong.
+            self.problem = problem
+
+    def wait(self):
+        """Waits for the end and returns the result, or None if the work raised its problem."""
+        self.thread.join()
+        return self.result
+
+
 class Answer:
     """An HTTP answer."""
 
