Stop requests that crash backend servers

Cause: the crash guard's verdicts had no effect on the running path. Weighed: to take every broken stream for a crash (a flaky network would send innocent requests into quarantine) against asking the server's load whether it is still the same run of its process; the latter costs one poll before the retry and was taken. Figures: a killer request sent 20 times crashes 2 servers, the second time alone; a stream that breaks while its server runs on raises no suspicion.

--- a/include/agatespar/request/chat_service.h
+++ b/include/agatespar/request/chat_service.h
@@ -1,6 +1,7 @@
 // Runs chat completions: admission, routing, attempts, resumed streams, and one bill at the end.
 #pragma once
 
+#include <agatespar/backend/crash_guard.h>
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/platform/engine.h>
 #include <agatespar/platform/rating_service.h>
@@ -39,6 +40,10 @@
     std::uint64_t forwarded{0};
     /// Answers of a cheaper model that were rated bad, so that a stronger one answered.
     std::uint64_t cascaded{0};
+    /// Backend servers that crashed under a request of this VM.
+    std::uint64_t crashes{0};
+    /// Requests refused because they crashed backend servers.
+    std::uint64_t quarantined{0};
     std::uint64_t running{0};
 };
 
@@ -63,6 +68,9 @@
     std::function<duration()> log_age;
     retry_budget* retries{nullptr};
     answer_quality* quality{nullptr};
+    crash_guard* crashes{nullptr};
+    /// Spreads a verdict of the crash guard in the zone.
+    std::function<void(const gossip_item&)> publish;
     rating_service rating;
 };
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -98,6 +98,11 @@
         if (counts) {
             quality.import_counts(event.item.bytes);
         }
+        const bool verdict =
+            event.kind == membership_event_kind::item && event.item.kind == gossip_kind::quarantine_verdict;
+        if (verdict) {
+            crashes.on_item(event.item, loop.time().now());
+        }
     });
     trace_timer = loop.schedule(trace_interval, [this] { export_traces(); });
     quality.set_rating_available(!settings.rating_url.empty());
@@ -137,6 +142,7 @@
                           [this](const zone_id& zone, const chat_request& request, duration remaining,
                                  const answer_sink& sink) { return forwards->send(zone, request, remaining, sink); },
                           usage.account(), [this] { return config.reader().contact_age(); }, &retries, &quality,
+                          &crashes, [this](const gossip_item& item) { members.members().publish(item, true); },
                           make_rating(settings, http.client())});
     calls = service_dependencies{
         &loop,
--- a/lib/node/node_services.h
+++ b/lib/node/node_services.h
@@ -1,6 +1,7 @@
 // All services of one VM, in the order of their making; private to the node.
 #pragma once
 
+#include <agatespar/backend/crash_guard.h>
 #include <agatespar/frontend/caller_api.h>
 #include <agatespar/kernel/glib_event_loop.h>
 #include <agatespar/kernel/service_registry.h>
@@ -72,6 +73,7 @@
     server_table table;
     answer_quality quality;
     account_limits limits;
+    crash_guard crashes;
     membership_service members;
     config_service config;
     server_service servers;
--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -97,6 +97,10 @@
          counters.retries_denied);
     show(metrics, "agatespar_late_events_dropped_total", "Late or crossed pieces of answers that were dropped.",
          counters.late_events_dropped);
+    show(metrics, "agatespar_cascaded_total", "Answers of a cheaper model that a stronger one replaced.",
+         counters.cascaded);
+    show(metrics, "agatespar_server_crashes_total", "Backend servers that crashed under a request.", counters.crashes);
+    show(metrics, "agatespar_quarantined_total", "Requests refused because they crash servers.", counters.quarantined);
     show(metrics, "agatespar_forwards_total", "Requests sent on to another zone.", counters.forwarded);
     metrics.make_gauge("agatespar_requests_running", "Requests running now.")
         .set(static_cast<double>(counters.running));
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -19,7 +19,8 @@
 
 chat_run::chat_run(const chat_dependencies& dependencies, chat_request request, answer_sink sink, bool forwarded)
     : dependencies_(dependencies), request_(std::move(request)), sink_(std::move(sink)), forwarded_(forwarded),
-      started_(dependencies_.loop->time().wall_now()), deadline_(now())
+      started_(dependencies_.loop->time().wall_now()), deadline_(now()),
+      fingerprint_(stable_hash(request_.messages_json, stable_hash(request_.target)))
 {
     if (request_.resume) {
         head_sent_ = true;
@@ -145,6 +146,9 @@
     route.prompt_tokens = static_cast<std::uint32_t>(request_.messages_json.size() / bytes_per_token);
     const token_count expected = dependencies_.quality->expected_output(request_.account.fleet, class_name());
     route.expected_output_tokens = static_cast<std::uint32_t>(std::min(request_.max_output, expected).value());
+    const crash_verdict verdict = dependencies_.crashes->verdict(fingerprint_, now());
+    route.must_run_alone = verdict == crash_verdict::suspect;
+    route.quarantined = verdict == crash_verdict::guilty;
     route.deadline = deadline_;
     route.streamed = request_.streamed;
     route.forwarded = forwarded_;
@@ -165,7 +169,8 @@
     if (!chosen) {
         error problem = chosen.error();
         problem.ran = proven_state();
-        fail(std::move(problem));
+        dependencies_.counters->quarantined += explained.quarantined ? 1 : 0;
+        fail_once_known(problem);
         return;
     }
     if (chosen->moved_from_withdrawn) {
@@ -278,7 +283,8 @@
         }
         self->begin_attempt(server, target, *granted, predicted);
     };
-    dependencies_.permits.acquire(server, false, take_permit);
+    const bool alone = dependencies_.crashes->verdict(fingerprint_, now()) == crash_verdict::suspect;
+    dependencies_.permits.acquire(server, alone, take_permit);
 }
 
 void chat_run::begin_attempt(const server_id& server, const route_target& target, const permit& granted,
@@ -296,8 +302,17 @@
     dependencies_.servers->count_start(server);
     attempt_first_token_ = delivered_tokens_;
     const attempt_id id{(*dependencies_.random)()};
-    attempt_ = running_attempt{
-        id, server, target, granted, predicted, dependencies_.spans->start_child(trace_), now(), std::nullopt, {}};
+    attempt_ = running_attempt{id,
+                               server,
+                               target,
+                               granted,
+                               known->entry.address,
+                               std::nullopt,
+                               predicted,
+                               dependencies_.spans->start_child(trace_),
+                               now(),
+                               std::nullopt,
+                               {}};
     engine_request call;
     call.server_url = known->entry.address;
     call.attempt = id;
@@ -316,7 +331,11 @@
 {
     const auto self = shared_from_this();
     engine_callbacks callbacks;
-    callbacks.on_start = [](server_start_id) {};
+    callbacks.on_start = [self, id](server_start_id start) {
+        if (self->is_current(id)) {
+            self->attempt_->start = start;
+        }
+    };
     callbacks.on_tokens = [self, id](const engine_tokens& tokens) {
         if (self->is_current(id)) {
             self->take_tokens(tokens);
@@ -499,10 +518,56 @@
 void chat_run::take_error(const error& problem)
 {
     excluded_.push_back(attempt_->server);
-    end_attempt(result_of(problem), problem.message);
+    const running_attempt ended = *attempt_;
+    const work_result result = result_of(problem);
+    end_attempt(result, problem.message);
+    if (result == work_result::broken) {
+        look_for_crash(ended, problem);
+        return;
+    }
     retry_or_fail(problem);
 }
 
+/// A broken stream alone is no crash: the server is asked whether it still is the same run of its process.
+void chat_run::look_for_crash(const running_attempt& broken, const error& problem)
+{
+    const bool alone = broken.granted.alone;
+    dependencies_.engine.poll_load(broken.server_url, [self = shared_from_this(), start = broken.start, alone,
+                                                       problem](const outcome<load_report>& report) {
+        if (self->closed_) {
+            return;
+        }
+        const bool crashed = !report || (start && report->start != *start);
+        if (crashed) {
+            self->note_crash(alone);
+        }
+        self->retry_or_fail(problem);
+    });
+}
+
+void chat_run::note_crash(bool alone)
+{
+    ++dependencies_.counters->crashes;
+    const clock& time = dependencies_.loop->time();
+    const crash_notice notice = dependencies_.crashes->on_crash(fingerprint_, alone, time.now(), time.wall_now());
+    dependencies_.publish(notice.item);
+    verdict_known_at_ = time.now() + notice.answer_delay;
+    dependencies_.explanations->add(request_.id, notice.verdict == crash_verdict::guilty
+                                                     ? "The server crashed under it, so it is not run again."
+                                                     : "The server crashed, so it may only run alone for now.");
+}
+
+/// Answers only when every VM of the zone knows the verdict, so that no other VM runs the request unwarned.
+void chat_run::fail_once_known(const error& problem)
+{
+    if (now() >= verdict_known_at_) {
+        fail(problem);
+        return;
+    }
+    retry_timer_ = dependencies_.loop->schedule(verdict_known_at_ - now(),
+                                                [self = shared_from_this(), problem] { self->fail(problem); });
+}
+
 void chat_run::end_attempt(work_result result, const std::string& problem)
 {
     const bool succeeded = result == work_result::good;
@@ -519,6 +584,12 @@
     measure.total = now() - ended.started;
     measure.first_token = ended.first_token.value_or(now()) - ended.started;
     dependencies_.servers->count_end(ended.server, ended.target, measure);
+    if (succeeded && ended.granted.alone) {
+        const clock& time = dependencies_.loop->time();
+        if (const auto item = dependencies_.crashes->on_completed_alone(fingerprint_, time.now(), time.wall_now())) {
+            dependencies_.publish(*item);
+        }
+    }
     permit_result ending{result};
     if (ended.predicted_total > duration::zero()) {
         ending.slowdown = std::chrono::duration<double>(measure.total) / ended.predicted_total;
@@ -542,7 +613,7 @@
                                                          now(), *dependencies_.random);
     if (!delay) {
         ++dependencies_.counters->retries_denied;
-        fail({problem.code, problem.message, proven_state(), std::chrono::milliseconds{1000}});
+        fail_once_known({problem.code, problem.message, proven_state(), std::chrono::milliseconds{1000}});
         return;
     }
     dependencies_.explanations->add(request_.id, "The attempt failed (" + problem.message + "), so another follows.");
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -29,6 +29,8 @@
         server_id server;
         route_target target;
         permit granted;
+        std::string server_url;
+        std::optional<server_start_id> start;
         duration predicted_total{0};
         trace_context span;
         steady_time started;
@@ -68,7 +70,10 @@
     void take_end(const engine_finish& finish);
     void take_error(const error& problem);
     void end_attempt(work_result result, const std::string& problem);
+    void look_for_crash(const running_attempt& broken, const error& problem);
+    void note_crash(bool alone);
     void retry_or_fail(const error& problem);
+    void fail_once_known(const error& problem);
     void send_head(const version_id& version);
     void bill_and_finish(const std::string& finish_reason);
     void bill_partial(usage_outcome result);
@@ -93,6 +98,9 @@
     steady_time deadline_;
     timer_id deadline_timer_;
     std::vector<server_id> excluded_;
+    request_fingerprint fingerprint_;
+    /// A crash's verdict has reached the zone's VMs by then.
+    steady_time verdict_known_at_;
     std::uint32_t routes_{0};
     std::uint32_t attempts_{0};
     std::optional<running_attempt> attempt_;
--- a/unittests/request/chat_service_test.cpp
+++ b/unittests/request/chat_service_test.cpp
@@ -121,6 +121,44 @@
     CHECK(path.permits_out == 0);
 }
 
+SCENARIO("a request that crashes servers is stopped after the second one")
+{
+    fake_request_path path;
+    path.next_report = failure(error_code::unavailable, "refused");
+
+    GIVEN("a request whose servers crash under it, sent again and again")
+    {
+        for (int sends = 0; sends < 20; ++sends) {
+            const auto answer = path.send("strong");
+            for (int i = 0; i < 10 && answer->closings == 0; ++i) {
+                path.last().callbacks.on_error(broken_stream());
+                path.loop.advance(3s);
+            }
+            REQUIRE(answer->failure);
+        }
+        THEN("two servers crashed, the second run was alone, and all VMs are told")
+        {
+            CHECK(path.attempts.size() == 2);
+            CHECK(path.counters.crashes == 2);
+            CHECK(path.counters.quarantined >= 19);
+            CHECK(path.published.size() == 2);
+        }
+    }
+    GIVEN("servers that break the stream but run on")
+    {
+        path.next_report = load_report{};
+        path.send("strong");
+        path.last().callbacks.on_start(server_start_id{0});
+        path.last().callbacks.on_error(broken_stream());
+        path.loop.advance(3s);
+        THEN("the request is not suspected")
+        {
+            CHECK(path.counters.crashes == 0);
+            CHECK(path.attempts.size() == 2);
+        }
+    }
+}
+
 SCENARIO("a deadline that passes ends the request")
 {
     fake_request_path path;
--- a/unittests/request/fake_request_path.h
+++ b/unittests/request/fake_request_path.h
@@ -49,10 +49,17 @@
             seen_attempt* attempt = attempts.back().get();
             return cancel_handle{[attempt] { attempt->cancelled = true; }};
         };
-        parts.permits.acquire = [this](const server_id&, bool,
+        parts.engine.poll_load = [this](const std::string&, const load_callback& done) {
+            loop.post([this, done] { done(next_report); });
+        };
+        parts.crashes = &crashes;
+        parts.publish = [this](const gossip_item& item) { published.push_back(item); };
+        parts.permits.acquire = [this](const server_id&, bool alone,
                                        const std::function<void(const outcome<permit>&)>& done) {
             ++permits_out;
-            done(permit{});
+            permit granted;
+            granted.alone = alone;
+            done(granted);
         };
         parts.permits.release = [this](const permit&, const permit_result&) { --permits_out; };
         parts.sessions.encode = [](const session_state& session, wall_time) {
@@ -123,6 +130,9 @@
     std::vector<usage_record> bills;
     std::vector<rating_request> ratings;
     outcome<rating> next_rating{rating::good};
+    outcome<load_report> next_report{load_report{}};
+    crash_guard crashes;
+    std::vector<gossip_item> published;
     version_id pinned{{fleet_name{"f"}, model_name{"strong"}}, version_name{"1"}};
     std::string session_token;
     duration log_age{0};
