--- /dev/null
+++ b/lib/request/chat_run_quality.cpp
@@ -0,0 +1,185 @@
+// The plan of one chat request, held answers and their ratings.
+#include "chat_run.h"
+
+#include <agatespar/request/explain_store.h>
+#include <agatespar/support/hash.h>
+
+#include <utility>
+
+namespace agatespar {
+
+// Longer answers are rated by their beginning.
+static constexpr std::size_t max_rated_bytes = std::size_t{256} * 1024;
+static constexpr std::chrono::milliseconds rating_timeout{2000};
+
+/// An answer that has begun goes on with its version only.
+version_set chat_run::allowed_versions() const
+{
+    version_set allowed;
+    for (const version_id& version : admitted_.allowed) {
+        const bool other_version = answering_version_ && *answering_version_ != version;
+        const auto index = dependencies_.servers->index_of({version, std::nullopt});
+        if (index && !other_version) {
+            allowed.set(index->value());
+        }
+    }
+    return allowed;
+}
+
+/// A request that leaves a choice of models is planned by cost and learned quality.
+void chat_run::make_plan()
+{
+    const routing_view& view = dependencies_.servers->view();
+    double both_ms = 0.0;
+    std::optional<model_index> only_model;
+    bool has_choice = false;
+    const version_set allowed = allowed_versions();
+    const auto output =
+        static_cast<double>(dependencies_.quality->expected_output(request_.account.fleet, class_name()).value());
+    for (std::size_t i = 0; i < view.versions.size(); ++i) {
+        if (!allowed.test(i)) {
+            continue;
+        }
+        const version_view& version = view.versions[i];
+        has_choice = has_choice || (only_model && *only_model != version.model);
+        only_model = version.model;
+        both_ms += output * version.decode_ms_per_token * (1.0 + version.decode_slope);
+    }
+    if (!has_choice) {
+        return;
+    }
+    quality_question question{request_.account.fleet, class_name(), stable_hash(session_.id),
+                              admitted_.deadline,     {},           admitted_.may_hold};
+    question.both_steps = std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{both_ms});
+    plan_ = dependencies_.quality->plan(question, *dependencies_.random);
+}
+
+/// @return whether an answer of the plan's first step is held back until it is rated.
+static bool is_held(const std::optional<serving_plan>& plan, bool second_step)
+{
+    return plan && plan->cascade() && !second_step;
+}
+
+void chat_run::take_text(std::string_view text, std::uint64_t end)
+{
+    delivered_tokens_ = end;
+    if (answer_.size() < max_rated_bytes) {
+        answer_ += text;
+    }
+    if (is_held(plan_, second_step_)) {
+        answering_version_ = attempt_->target.version;
+        return;
+    }
+    if (!head_sent_) {
+        send_head(*attempt_->target.version);
+    }
+    sink_.text({text, token_count{end}});
+}
+
+void chat_run::send_head(const version_id& version)
+{
+    head_sent_ = true;
+    answering_version_ = version;
+    std::erase_if(session_.pins, [&](const version_id& pin) { return pin.model == version.model; });
+    session_.pins.push_back(version);
+    answer_head head{version, dependencies_.sessions.encode(session_, dependencies_.loop->time().wall_now()),
+                     moved_from_};
+    sink_.start(head);
+}
+
+void chat_run::take_end(const engine_finish& finish)
+{
+    if (finish.usage.completion.value() != delivered_tokens_) {
+        take_error({error_code::unavailable, "the answer ended before it was whole", run_state::outcome_unknown,
+                    std::nullopt});
+        return;
+    }
+    const version_id version = *attempt_->target.version;
+    prompt_tokens_ = finish.usage.prompt;
+    end_attempt(work_result::good, "");
+    answering_version_ = version;
+    if (is_held(plan_, second_step_)) {
+        rate(finish);
+        return;
+    }
+    if (!head_sent_) {
+        send_head(version);
+    }
+    bill_and_finish(finish.reason);
+}
+
+void chat_run::rate(const engine_finish& finish)
+{
+    rating_request asked{request_.messages_json, answer_, *answering_version_, admitted_.request_class, rating_timeout};
+    dependencies_.rating.rate(std::move(asked), [self = shared_from_this(), finish](const outcome<rating>& judged) {
+        if (!self->closed_) {
+            self->take_rating(judged, finish);
+        }
+    });
+}
+
+/// Without a rating the stronger model answers, as its quality is the reference.
+void chat_run::take_rating(const outcome<rating>& judged, const engine_finish& finish)
+{
+    dependencies_.quality->set_rating_available(judged.has_value());
+    const bool good = judged && *judged == rating::good;
+    if (judged) {
+        dependencies_.quality->record_rating(*answering_version_, class_name(), good);
+    }
+    fallback_ = held_answer{*answering_version_, answer_, finish};
+    if (good) {
+        release_held();
+        return;
+    }
+    ++dependencies_.counters->cascaded;
+    dependencies_.explanations->add(request_.id, judged
+                                                     ? "Its answer was rated bad, so a stronger model answers."
+                                                     : "Its answer could not be rated, so a stronger model answers.");
+    begin_second_step();
+}
+
+void chat_run::begin_second_step()
+{
+    second_step_ = true;
+    answering_version_.reset();
+    answer_.clear();
+    delivered_tokens_ = 0;
+    attempt_first_token_ = 0;
+    excluded_.clear();
+    route();
+}
+
+/// Sends the held answer as a whole.
+void chat_run::release_held()
+{
+    const held_answer held = *std::exchange(fallback_, std::nullopt);
+    second_step_ = true;
+    answer_ = held.text;
+    delivered_tokens_ = held.finish.usage.completion.value();
+    send_head(held.version);
+    sink_.text({held.text, token_count{delivered_tokens_}});
+    plan_.reset();
+    bill_and_finish(held.finish.reason);
+}
+
+/// Ratings of answers that were not held teach the plans to come and the version guards.
+void chat_run::rate_afterwards()
+{
+    const bool rated = second_step_ && !plan_;
+    // The VM that ran the answer rates it, as its zone plans with what it learns.
+    if (remote_answer_ || rated || !answering_version_ || !dependencies_.rating.rate) {
+        return;
+    }
+    rating_request asked{request_.messages_json, answer_, *answering_version_, admitted_.request_class, rating_timeout};
+    answer_quality* quality = dependencies_.quality;
+    const version_id version = *answering_version_;
+    dependencies_.rating.rate(std::move(asked),
+                              [quality, version, request_class = class_name()](const outcome<rating>& judged) {
+                                  quality->set_rating_available(judged.has_value());
+                                  if (judged) {
+                                      quality->record_rating(version, request_class, *judged == rating::good);
+                                  }
+                              });
+}
+
+} // namespace agatespar
