Let zones describe themselves through the zone directory

Found on the way: a target that gained its first room was no news, so another zone refused requests for up to 15 s after a start.

--- a/include/agatespar/node/zone_service.h
+++ b/include/agatespar/node/zone_service.h
@@ -1,9 +1,9 @@
-// Lets zones know of each other: delegates send summaries, and every VM learns them by its own zone's gossip.
+// Lets zones know of each other: runs the zone directory, and shows the other zones to the routing.
 #pragma once
 
 #include <agatespar/config/config_reader.h>
 #include <agatespar/kernel/event_loop.h>
-#include <agatespar/membership/messages.h>
+#include <agatespar/membership/zone_directory.h>
 #include <agatespar/platform/vm_list.h>
 #include <agatespar/request/server_table.h>
 #include <agatespar/wire/transport.h>
@@ -19,7 +19,7 @@
 class membership_service;
 class message_router;
 
-/// Sends this zone's summary if this VM is a delegate, and keeps the other zones' summaries.
+/// Drives the zone directory and fills the server table with what it knows.
 class zone_service {
 public:
     zone_service(event_loop& loop, transport& carrier, message_router& router, membership_service& members,
@@ -34,19 +34,9 @@
     std::optional<std::string> pick_vm(const zone_id& zone);
 
 private:
-    struct known_zone {
-        std::optional<zone_summary_message> summary;
-        steady_time heard;
-        std::vector<std::string> listed;
-    };
-
     void tick();
-    void send_summaries();
-    zone_summary_message make_summary();
-    void take_summary(const frame& received);
-    void take_item(const gossip_item& item);
-    void apply(const zone_id& id, const known_zone& zone);
-    std::vector<std::string> addresses_of(const known_zone& zone) const;
+    local_zone_state describe_own_zone();
+    void show_zones();
 
     event_loop& loop_;
     transport& carrier_;
@@ -55,7 +45,8 @@
     const config_reader& config_;
     region_name region_;
     std::mt19937_64& random_;
-    std::map<zone_id, known_zone> zones_;
+    zone_directory directory_;
+    std::map<zone_name, std::vector<vm_address>> listed_;
     timer_id timer_;
 };
 
--- a/include/agatespar/request/server_table.h
+++ b/include/agatespar/request/server_table.h
@@ -101,6 +101,7 @@
     const routing_view& view();
     /// Replaces what is known of another zone.
     void set_zone(const zone_id& zone, other_zone state);
+    const std::unordered_map<zone_id, other_zone>& other_zones() const { return other_zones_; }
     /// @return the free slots of each target in the own zone, for the other zones.
     std::vector<target_capacity> free_capacity();
 
--- a/lib/membership/zone_directory.cpp
+++ b/lib/membership/zone_directory.cpp
@@ -102,10 +102,20 @@
     store(*summary, now);
 }
 
+/// @return whether a summary has room for a target of which an earlier one had none.
+static bool has_new_target(const zone_summary_message& summary, const zone_summary_message& earlier)
+{
+    return std::any_of(summary.capacity.begin(), summary.capacity.end(), [&earlier](const capacity_entry& entry) {
+        return std::none_of(earlier.capacity.begin(), earlier.capacity.end(),
+                            [&entry](const capacity_entry& known) { return known.target == entry.target; });
+    });
+}
+
 bool zone_directory::has_news(const zone_summary_message& summary) const
 {
     const auto known = zones_.find(summary.zone);
-    return known == zones_.end() || known->second.summary.in_service != summary.in_service;
+    return known == zones_.end() || known->second.summary.in_service != summary.in_service ||
+           has_new_target(summary, known->second.summary);
 }
 
 void zone_directory::store(zone_summary_message summary, steady_time now)
--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -40,6 +40,23 @@
     return servers;
 }
 
+static json describe_zones(const server_table& table)
+{
+    json zones = json::array();
+    for (const auto& [id, zone] : table.other_zones()) {
+        json free_slots = json::object();
+        for (const target_capacity& entry : zone.capacity) {
+            const route_target& target = entry.target;
+            free_slots[target.version ? to_string(*target.version) : to_string(*target.service)] = entry.free_slots;
+        }
+        zones.push_back({{"zone", to_string(id)},
+                         {"in_service", zone.in_service},
+                         {"reachable", zone.reachable},
+                         {"free_slots", std::move(free_slots)}});
+    }
+    return zones;
+}
+
 static json describe_requests(const request_counters& counters)
 {
     return {{"started", counters.started},
@@ -70,6 +87,7 @@
             {"members", std::move(peers)},
             {"has_majority", members.members().has_majority()},
             {"servers", describe_servers(table)},
+            {"other_zones", describe_zones(table)},
             {"ledger_partitions", std::move(partitions)},
             {"usage_pending", usage.outbox().pending()},
             {"requests", describe_requests(counters)}};
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -14,7 +14,6 @@
 
 // How long a call may take in all.
 static constexpr std::chrono::seconds call_deadline{20};
-static constexpr std::chrono::seconds look_up_patience{5};
 // A repeat of a running call asks for its outcome this often.
 static constexpr std::chrono::milliseconds repeat_interval{250};
 static constexpr std::uint32_t max_routes = 8;
@@ -391,56 +390,4 @@
     std::make_shared<service_run>(dependencies, std::move(request), forwarded, std::move(callback))->start();
 }
 
-static outcome<service_answer> answer_of(const key_report& report)
-{
-    switch (report.state) {
-    case ledger_verdict::finished:
-        return service_answer{report.result.body, true, report.result.request};
-    case ledger_verdict::cancelled:
-        return failure(error_code::not_found, "the key is closed and no call of it ran or will run");
-    case ledger_verdict::not_claimed:
-    case ledger_verdict::abandoned:
-        // A call of the key may be on its way, so only closing the key proves that none runs.
-        return tl::make_unexpected(
-            error{error_code::not_found, "no call of this key is known so far", run_state::outcome_unknown, {}});
-    case ledger_verdict::running:
-        return tl::make_unexpected(
-            error{error_code::conflict, "the call is running", run_state::outcome_unknown, std::chrono::seconds{1}});
-    default:
-        return tl::make_unexpected(
-            error{error_code::outcome_unknown, "the call's outcome is not known", run_state::outcome_unknown, {}});
-    }
-}
-
-/// Asks the ledger about the request's key with one of its two questions.
-template <class Question>
-static void ask_ledger(const service_request& request, service_callback callback, const Question& question)
-{
-    const idempotency_key key = request.key.value_or(idempotency_key{});
-    const auto key_time = key_time_of(key, request.key_time);
-    if (!key_time) {
-        callback(tl::make_unexpected(key_time.error()));
-        return;
-    }
-    question(ledger_key{request.account, key}, *key_time, [callback = std::move(callback)](outcome<key_report> report) {
-        callback(report.and_then([](const key_report& known) { return answer_of(known); }));
-    });
-}
-
-void look_up_service_outcome(const service_dependencies& dependencies, const service_request& request,
-                             service_callback callback)
-{
-    ask_ledger(request, std::move(callback), [&](const ledger_key& key, wall_time time, key_report_callback done) {
-        dependencies.claims->look_up(key, time, look_up_patience, std::move(done));
-    });
-}
-
-void cancel_service_key(const service_dependencies& dependencies, const service_request& request,
-                        service_callback callback)
-{
-    ask_ledger(request, std::move(callback), [&](const ledger_key& key, wall_time time, key_report_callback done) {
-        dependencies.claims->cancel(key, time, look_up_patience, std::move(done));
-    });
-}
-
 } // namespace agatespar
--- a/utils/harness/demo.py
+++ b/utils/harness/demo.py
@@ -38,6 +38,7 @@
     fleet.wait_servers("vm-1", 3)
     fleet.wait_servers("vm-2", 3)
     fleet.wait_servers("vm-3", 3)
+    fleet.wait_zone("vm-1", "colombes/centre", 3)
     say("configuration 1 is in force on all entry VMs")
 
 
--- a/utils/harness/fleet.py
+++ b/utils/harness/fleet.py
@@ -319,6 +319,15 @@
 
         wait_until(usable, f"{count} usable servers on {name}")
 
+    def wait_zone(self, name, zone, targets):
+        """Waits until a daemon knows that another zone has room for a number of targets."""
+
+        def known():
+            zones = self.status(name)["other_zones"]
+            return any(entry["zone"] == zone and len(entry["free_slots"]) >= targets for entry in zones)
+
+        wait_until(known, f"{name} to know of {zone}")
+
     def chat(self, name, prompt, key=KOVACIC_KEY, target="savjetnik", **fields):
         body = {"model": target, "messages": [{"role": "user", "content": prompt}], **fields}
         return call(
