--- a/include/agatespar/node/config_service.h
+++ b/include/agatespar/node/config_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <agatespar/config/config_reader.h>
+#include <agatespar/config/snapshot_store.h>
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/wire/transport.h>
 
@@ -19,7 +20,7 @@
 public:
     using listener = std::function<void(const std::shared_ptr<const configuration>&)>;
 
-    config_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
+    config_service(event_loop& loop, const log_service& log, transport& carrier, message_router& router,
                    membership_service& members, std::mt19937_64& random);
     ~config_service();
     config_service(const config_service&) = delete;
@@ -43,6 +44,7 @@
     membership_service& members_;
     std::vector<listener> listeners_;
     config_reader reader_;
+    snapshot_writer snapshots_;
     timer_id mark_timer_;
     std::uint64_t mark_version_{0};
     config_number spread_number_;
--- a/include/agatespar/request/server_table.h
+++ b/include/agatespar/request/server_table.h
@@ -97,6 +97,10 @@
     /// Lets no new session onto a version, or lets them again. @return whether that changed anything.
     bool set_stopped_by_guard(const version_id& version, bool stopped);
 
+    /// Remembers that a server's cache holds a session's prompt.
+    void remember_prefix(const server_id& id, const route_target& target, std::uint64_t prefix, token_count tokens,
+                         steady_time now);
+
     /// @return the view that decisions use, brought up to date.
     const routing_view& view();
     /// Replaces what is known of another zone.
--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -9,6 +9,9 @@
 
 namespace agatespar {
 
+// RFC 6585, section 4; libsoup has no name for it.
+static constexpr int status_too_many_requests = 429;
+
 namespace {
 
 /// The response side of one libsoup message.
@@ -338,7 +341,7 @@
     }
     if (counters.open_connections > settings.max_connections) {
         ++counters.over_connection_limit;
-        refuse(message, SOUP_STATUS_SERVICE_UNAVAILABLE, "overloaded", "too many connections");
+        refuse(message, status_too_many_requests, "overloaded", "too many connections");
         return;
     }
     soup_server_message_pause(message);
--- a/lib/node/config_service.cpp
+++ b/lib/node/config_service.cpp
@@ -25,10 +25,11 @@
     return settings;
 }
 
-config_service::config_service(event_loop& loop, log_service log, transport& carrier, message_router& router,
+config_service::config_service(event_loop& loop, const log_service& log, transport& carrier, message_router& router,
                                membership_service& members, std::mt19937_64& random)
     : loop_(loop), carrier_(carrier), members_(members),
-      reader_(loop, make_seams(std::move(log)), make_settings(members.members().self()), random),
+      reader_(loop, make_seams(log), make_settings(members.members().self()), random),
+      snapshots_(loop, log, reader_, snapshot_writer_settings{}, random),
       mark_version_(static_cast<std::uint64_t>(
           std::chrono::duration_cast<std::chrono::milliseconds>(loop.time().wall_now().time_since_epoch()).count()))
 {
@@ -57,6 +58,7 @@
         }
     });
     reader_.start();
+    snapshots_.start();
     follow_members();
     spread_mark();
 }
--- a/lib/request/admission.cpp
+++ b/lib/request/admission.cpp
@@ -66,7 +66,7 @@
 
 outcome<void> check_cut_off(const service_settings& service, duration log_age)
 {
-    if (!service.cut_off_limit || log_age <= *service.cut_off_limit) {
+    if (takes_new_work(service, log_age)) {
         return {};
     }
     return failure(error_code::unavailable, "the zone is cut off for longer than the service takes new work");
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -98,7 +98,12 @@
             }
         }
     }
-    route.prompt_tokens = static_cast<std::uint32_t>(request_.messages_json.size() / bytes_per_token);
+    const auto prompt_tokens = static_cast<std::uint32_t>(request_.messages_json.size() / bytes_per_token);
+    if (!request_.session_token.empty()) {
+        // Each turn's prompt goes on from the one before, which its server may still hold.
+        route.prefixes.push({route.session_hash, prompt_tokens});
+    }
+    route.prompt_tokens = prompt_tokens;
     const token_count expected = dependencies_.quality->expected_output(request_.account.fleet, class_name());
     route.expected_output_tokens = static_cast<std::uint32_t>(std::min(request_.max_output, expected).value());
     const crash_verdict verdict = dependencies_.crashes->verdict(fingerprint_, now());
--- a/lib/request/chat_run_attempts.cpp
+++ b/lib/request/chat_run_attempts.cpp
@@ -2,16 +2,25 @@
 #include "chat_run.h"
 
 #include <agatespar/request/explain_store.h>
+#include <agatespar/support/hash.h>
 
 #include <algorithm>
 
 namespace agatespar {
 
+/// @return whether the configuration lets new work start on a version.
+static bool is_serving(const configuration& config, const version_id& version)
+{
+    const version_settings* settings = find_version(config, version);
+    return settings != nullptr && settings->state == version_state::serving;
+}
+
 void chat_run::begin_attempt(const server_id& server, const route_target& target, const permit& granted,
                              duration predicted)
 {
     const known_server* known = dependencies_.servers->find(server);
-    if (known == nullptr) {
+    // The configuration may have changed while the permit was on its way.
+    if (known == nullptr || !is_serving(dependencies_.servers->config(), *target.version)) {
         dependencies_.permits.release(granted, {work_result::unused});
         route();
         return;
@@ -182,6 +191,10 @@
             dependencies_.publish(*item);
         }
     }
+    if (succeeded) {
+        dependencies_.servers->remember_prefix(ended.server, ended.target, stable_hash(session_.id), prompt_tokens_,
+                                               now());
+    }
     permit_result ending{result};
     if (ended.predicted_total > duration::zero()) {
         ending.slowdown = std::chrono::duration<double>(measure.total) / ended.predicted_total;
--- a/lib/request/server_table.cpp
+++ b/lib/request/server_table.cpp
@@ -101,6 +101,16 @@
     move_average(speed.prefill_tokens_per_s, static_cast<double>(measure.prompt_tokens.value()) / prefill.count());
 }
 
+void server_table::remember_prefix(const server_id& id, const route_target& target, std::uint64_t prefix,
+                                   token_count tokens, steady_time now)
+{
+    const auto version = index_of(target);
+    const auto row = version ? index_of(id, *version) : std::nullopt;
+    if (row) {
+        view_.prefixes.remember(prefix, *row, static_cast<std::uint32_t>(tokens.value()), now);
+    }
+}
+
 bool server_table::set_stopped_by_guard(const version_id& version, bool stopped)
 {
     const bool changed = stopped ? stopped_by_guard_.insert(version).second : stopped_by_guard_.erase(version) > 0;
--- a/lib/request/service_outcome.cpp
+++ b/lib/request/service_outcome.cpp
@@ -10,6 +10,10 @@
 {
     switch (report.state) {
     case ledger_verdict::finished:
+        if (report.result.body_omitted) {
+            return tl::make_unexpected(error{error_code::too_large, "the call ran; its answer was too large to be kept",
+                                             run_state::ran, std::nullopt});
+        }
         return service_answer{report.result.body, true, report.result.request};
     case ledger_verdict::cancelled:
         return failure(error_code::not_found, "the key is closed and no call of it ran or will run");
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -304,7 +304,8 @@
 {
     settle(first.request, [self = shared_from_this(), first] {
         if (first.body_omitted) {
-            self->fail({error_code::conflict, "the call ran; its answer was too large to be kept", run_state::ran, {}});
+            self->fail(
+                {error_code::too_large, "the call ran; its answer was too large to be kept", run_state::ran, {}});
             return;
         }
         self->finish(service_answer{first.body, true, first.request});
