Refuse a listen address that is no IPv4 address as a wrong setting

--listen=999.0.0.1:80 passed the check of settings, and the daemon ended with code 3 after it had begun to read the configuration. It now ends with code 2 and one line that names the setting, as test/hostile_test.py asks.

--- a/lib/node/settings.cpp
+++ b/lib/node/settings.cpp
@@ -1,6 +1,7 @@
 // The table of settings, and the checks of each value.
 #include <agatespar/node/settings.h>
 
+#include <arpa/inet.h>
 #include <docopt/docopt.h>
 
 #include <algorithm>
@@ -174,7 +175,8 @@
     const char* end = text.data() + text.size();
     const auto [stop, problem] = std::from_chars(text.data() + colon + 1, end, port);
     const std::string ip = text.substr(0, colon);
-    return problem == std::errc{} && stop == end && ip.find_first_not_of("0123456789.") == std::string::npos;
+    in_addr parsed{};
+    return problem == std::errc{} && stop == end && inet_pton(AF_INET, ip.c_str(), &parsed) == 1;
 }
 
 static outcome<void> check_addresses(const setting_values& values)
