Test that a drained zone gets no new work and loses none

The harness waits at the start of a zone until requests run: the owner of the servers gives out no permits for some seconds.

--- /dev/null
+++ b/test/zones_test.py
@@ -0,0 +1,64 @@
+"""A zone is drained and returned under traffic: no new work there, every request answered through the other zone."""
+
+import os
+import unittest
+
+from harness.fleet import Fleet, is_whole, new_key, two_fleets_operations
+from harness.processes import wait_until
+
+CENTRE = "kovacic-engine-1"
+NORTH = "kovacic-engine-2"
+
+
+class WhenAZoneIsDrained(unittest.TestCase):
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
+        fleet = self.fleet
+        fleet.start_platform()
+        fleet.start_engine("kovacic", "centre", "engine-1", "small@1,large@1")
+        fleet.start_engine("kovacic", "north", "engine-2", "small@1,large@1")
+        fleet.start_plain("kovacic", "centre", "orders-1", "narudzbe")
+        fleet.start_plain("kovacic", "north", "orders-2", "narudzbe")
+        self.assertEqual(fleet.patch(two_fleets_operations(), 0)[0], 0)
+        fleet.start_daemon("kovacic", "centre", "vm-1")
+        fleet.start_daemon("kovacic", "north", "vm-2")
+        fleet.wait_serving("vm-1", "vm-2", servers=2)
+        for name in fleet.daemons:
+            fleet.wait_answering(name)
+
+    def ask(self, name, prompt):
+        answer = self.fleet.chat(name, prompt)
+        if answer.status == 200:
+            self.assertTrue(is_whole(answer, prompt), answer.body)
+            return True
+        # A refusal is allowed only in the change itself, and nothing may have run.
+        self.assertEqual(answer.error()["ran"], "not_run", answer.body)
+        return False
+
+    def runs(self, *servers):
+        return sum(sum(self.fleet.counts(server)["runs"].values()) for server in servers)
+
+    def change(self, action, number):
+        code, output = self.fleet.control("zone", action, "kovacic/centre")
+        self.assertEqual(code, 0, output)
+        self.fleet.wait_config(number)
+
+    def test_it_gets_no_new_work_and_nothing_is_lost(self):
+        self.assertTrue(self.ask("vm-1", "before"))
+        self.change("drain", 2)
+        wait_until(lambda: self.ask("vm-1", "in the change") and self.ask("vm-2", "in the change"), "both VMs to serve")
+        before = self.runs(CENTRE, "kovacic-orders-1")
+        for number in range(10):
+            for name in ("vm-1", "vm-2"):
+                self.assertTrue(self.ask(name, f"question {number}"), "refused while the other zone serves")
+        key = new_key()
+        booked = self.fleet.service("vm-1", "narudzbe/book", {"order": 1}, idempotency_key=key)
+        self.assertEqual(booked.status, 200, booked.body)
+        self.assertEqual(self.fleet.counts("kovacic-orders-2")["runs"], {key: 1})
+        self.assertEqual(self.runs(CENTRE, "kovacic-orders-1"), before, "the drained zone got new work")
+        self.change("return", 3)
+        wait_until(lambda: self.ask("vm-1", "after the return") and self.runs(CENTRE) > before, "work in the zone again")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/utils/harness/fleet.py
+++ b/utils/harness/fleet.py
@@ -131,17 +131,22 @@
             print(f"--- {name} ({'running' if process.running() else process.child.returncode})")
             print("\n".join(process.read_log().splitlines()[-15:]))
 
-    def start_one_zone(self, *vms, engines=1):
+    def start_one_zone(self, *vms, engines=1, cold_slots=2):
         """Starts one zone with a plain service, engines that hold both models, and entry VMs that serve."""
+        slots = max(8, cold_slots)
         self.start_platform()
         for number in range(1, engines + 1):
-            self.start_engine("kovacic", "centre", f"engine-{number}", "small@1,large@1")
+            self.start_engine(
+                "kovacic", "centre", f"engine-{number}", "small@1,large@1", slots=slots, cold_slots=cold_slots
+            )
         self.start_plain("kovacic", "centre", "orders-1", "narudzbe")
         code, output = self.patch(two_fleets_operations(), 0)
         assert code == 0, output
         for name in vms:
             self.start_daemon("kovacic", "centre", name)
         self.wait_serving(*vms, servers=engines + 1)
+        for name in vms:
+            self.wait_answering(name)
 
     def wait_serving(self, *vms, servers):
         """Waits until entry VMs are ready, follow the first configuration and see their servers."""
@@ -150,6 +155,21 @@
         for name in vms:
             self.wait_servers(name, servers)
 
+    def wait_answering(self, name):
+        """Waits until chat requests run, which they do once the owner of the zone's servers gives out permits."""
+        wait_until(lambda: self.chat(name, "Is anyone there?").status == 200, name + " to answer")
+
+    def run_chat(self, name, prompt, **fields):
+        """Asks until a request runs: a refusal that ran nothing, such as one of a full zone, is sent again."""
+        answers = []
+
+        def ran():
+            answers.append(self.chat(name, prompt, **fields))
+            return answers[-1].status == 200 or answers[-1].error()["ran"] != "not_run"
+
+        wait_until(ran, "a request to run")
+        return answers[-1]
+
     def kill_daemon(self, name):
         """Kills an entry VM and takes it off the VM list, as the platform does."""
         self.processes[name].kill()
