Test that each answered request is billed once

Bills in the log are counted against answered requests: plain traffic, repeated keys, refusals, a VM killed after its answers, a log that is down or loses half of its answers, and a VM killed while the log is down.

--- /dev/null
+++ b/test/billing_test.py
@@ -0,0 +1,118 @@
+"""Each answered request is billed once: across repeated keys, killed VMs, lost and late answers of the log."""
+
+import os
+import unittest
+
+from harness.fleet import Fleet, is_whole, new_key
+from harness.processes import Background, wait_until
+
+ACCOUNT = "kovacic/front"
+
+
+class BillingCase(unittest.TestCase):
+    """A zone, and the number of requests that its callers got an answer to."""
+
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
+        self.fleet.start_one_zone("vm-1", "vm-2")
+        # The zone answered a question through each VM at the start.
+        self.answered = 2
+
+    def until_it_runs(self, send):
+        """Sends until there is an answer: a refusal that ran nothing is sent again, and must leave no bill behind."""
+        answers = []
+
+        def ran():
+            answers.append(send())
+            return answers[-1].status == 200 or answers[-1].error()["ran"] != "not_run"
+
+        wait_until(ran, "a request to run")
+        self.assertEqual(answers[-1].status, 200, answers[-1].body)
+        return answers[-1]
+
+    def ask(self, name, prompt, **fields):
+        answer = self.until_it_runs(lambda: self.fleet.chat(name, prompt, **fields))
+        if not fields.get("stream"):
+            self.assertTrue(is_whole(answer, prompt), answer.body)
+        self.answered += 1
+
+    def book(self, name, key):
+        self.until_it_runs(
+            lambda: self.fleet.service(name, "narudzbe/book", {"order": key}, idempotency_key=key)
+        )
+
+    def check_bills(self):
+        """Waits until all bills stand in the log, then lets all VMs end, as the end of a VM appends what it still has."""
+        wait_until(lambda: self.fleet.billed(ACCOUNT)[0] >= self.answered, f"{self.answered} bills")
+        for name in self.fleet.daemons:
+            self.assertEqual(self.fleet.processes[name].stop(), 0)
+        self.assertEqual(self.fleet.billed(ACCOUNT)[0], self.answered)
+
+
+class WhenNothingFails(BillingCase):
+    def test_each_answer_has_one_bill(self):
+        for number in range(10):
+            self.ask("vm-1" if number % 2 else "vm-2", f"question {number}", stream=number % 3 == 0)
+        self.fleet.service("vm-1", "narudzbe/look_up", {"order": 1})
+        self.answered += 1
+        self.check_bills()
+
+    def test_a_repeated_key_has_one_bill(self):
+        keys = [new_key() for _ in range(3)]
+        for key in keys:
+            for name in ("vm-1", "vm-2", "vm-2"):
+                self.book(name, key)
+        self.answered += len(keys)
+        self.check_bills()
+
+    def test_a_refusal_has_none(self):
+        refused = self.fleet.chat("vm-1", "Draft it", target="assistant-colombe")
+        self.assertEqual(refused.error()["ran"], "not_run")
+        self.ask("vm-1", "Which finish suits oak?")
+        self.check_bills()
+
+
+class WhenAVmIsKilledAfterItsAnswers(BillingCase):
+    def test_another_vm_appends_its_bills(self):
+        for number in range(8):
+            self.ask("vm-1", f"question {number}")
+        key = new_key()
+        self.book("vm-1", key)
+        self.answered += 1
+        self.fleet.kill_daemon("vm-1")
+        # The outcome may have died with the VM; then the repeat is told so, and has no bill of its own.
+        repeat = self.fleet.service("vm-2", "narudzbe/book", {"order": key}, idempotency_key=key)
+        self.assertTrue(repeat.status == 200 or repeat.error()["ran"] != "not_run", repeat.body)
+        self.ask("vm-2", "Is anyone there?")
+        self.check_bills()
+
+
+class WhenTheLogFails(BillingCase):
+    def test_bills_wait_for_a_log_that_is_down(self):
+        self.fleet.faults("log", down=True)
+        callers = [Background(lambda number=number: self.ask("vm-1", f"question {number}")) for number in range(6)]
+        for caller in callers:
+            caller.wait()
+            self.assertIsNone(caller.problem, repr(caller.problem))
+        self.fleet.faults("log", down=False)
+        self.check_bills()
+
+    def test_lost_answers_of_the_log_double_no_bill(self):
+        self.fleet.faults("log", lost_answers=0.5)
+        for number in range(12):
+            self.ask("vm-1" if number % 2 else "vm-2", f"question {number}")
+        wait_until(lambda: self.fleet.billed(ACCOUNT)[0] >= self.answered, f"{self.answered} bills")
+        self.fleet.faults("log", lost_answers=0)
+        self.check_bills()
+
+    def test_a_vm_killed_while_the_log_is_down_loses_no_bill(self):
+        self.fleet.faults("log", down=True)
+        for number in range(4):
+            self.ask("vm-1", f"question {number}")
+        self.fleet.kill_daemon("vm-1")
+        self.fleet.faults("log", down=False)
+        self.check_bills()
+
+
+if __name__ == "__main__":
+    unittest.main()
