Define the request fingerprint once

Cause: the crash guard and the ledger each declared the same type. Figures: no behaviour changed; the build and unit tests judge it. Conclusion: it stands with the other ids.

--- a/include/agatespar/backend/crash_guard.h
+++ b/include/agatespar/backend/crash_guard.h
@@ -4,6 +4,7 @@
 #include <agatespar/backend/permit.h>
 #include <agatespar/membership/messages.h>
 #include <agatespar/support/clock.h>
+#include <agatespar/support/ids.h>
 
 #include <chrono>
 #include <cstdint>
@@ -14,9 +15,6 @@
 
 namespace agatespar {
 
-/// A hash of what a request asks, equal when its caller sends it again.
-using request_fingerprint = strong<struct request_fingerprint_tag, std::uint64_t>;
-
 /// What a request may do after the crashes that it took part in.
 enum class crash_verdict : std::uint8_t {
     clear = 0,
--- a/include/agatespar/ledger/ledger_records.h
+++ b/include/agatespar/ledger/ledger_records.h
@@ -21,8 +21,6 @@
 inline constexpr std::size_t max_stored_body_bytes = 16 * 1024;
 
 using ledger_partition = strong<struct ledger_partition_tag, std::uint32_t>;
-/// The hash of all that makes up a request, to tell a repeat of a key from its reuse.
-using request_fingerprint = strong<struct request_fingerprint_tag, std::uint64_t>;
 
 /// A caller's key, which is only meaningful within its client account.
 struct ledger_key {
--- a/include/agatespar/support/ids.h
+++ b/include/agatespar/support/ids.h
@@ -24,6 +24,8 @@
 using request_id = strong<struct request_id_tag, std::string>;
 /// The caller's key that makes repeats of a non-idempotent request recognisable.
 using idempotency_key = strong<struct idempotency_key_tag, std::string>;
+/// A hash of all that a request asks, equal when its caller sends it again.
+using request_fingerprint = strong<struct request_fingerprint_tag, std::uint64_t>;
 /// Identifies one attempt of a request on one backend server.
 using attempt_id = strong<struct attempt_id_tag, std::uint64_t>;
 /// Identifies one run of a VM's process; an address may be reused, a boot id is not.
