Let requests wait for room, and plan only for models that a server holds

The plan named the strong model alone although no server held it; with two engines of the cheap model all of 6 requests over 60 s were refused. 2. A refused permit put its server on the list of those tried, for good; a new owner gives out none for 5 s. 3. A former owner's table that arrived last at a joining VM showed servers as unhealthy until the next refresh, up to 60 s. Ruled out: that the engines were cold or full (limit 2, running 0). Conclusion: unit.request covers the wait, its bound, and a plan that nobody can serve.

--- a/benchmarks/control/control_fleet.cpp
+++ b/benchmarks/control/control_fleet.cpp
@@ -173,7 +173,7 @@
             continue;
         }
         if (event.item.kind == gossip_kind::server_table) {
-            each.permits->on_table(event.item.bytes, now_);
+            each.permits->on_table(event.item.name, event.item.bytes, now_);
         }
         if (event.item.kind == gossip_kind::zone_summary) {
             each.directory->on_item(event.item, now_);
--- a/include/agatespar/backend/load_table.h
+++ b/include/agatespar/backend/load_table.h
@@ -5,6 +5,7 @@
 #include <agatespar/support/clock.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -22,11 +23,15 @@
 /// Keeps the newest entry of each server.
 class load_table {
 public:
+    /// @return whether the sender of a table may speak for a server, by the low half of the server's key.
+    using speaks_for = std::function<bool(std::uint32_t)>;
+
     /// Takes in the bytes of a gossip item of kind server_table. @return false if they are malformed.
-    bool merge(std::string_view bytes, steady_time now);
+    bool merge(std::string_view bytes, steady_time now, const speaks_for& speaks = {});
     std::optional<known_load> find(server_key server) const;
     /// Drops entries that were not renewed, e.g. of servers that are gone.
     void expire(steady_time older_than);
+    bool knows(std::uint32_t short_server_key) const { return entries_.count(short_server_key) > 0; }
     std::size_t size() const { return entries_.size(); }
 
 private:
--- a/include/agatespar/backend/permit_service.h
+++ b/include/agatespar/backend/permit_service.h
@@ -59,8 +59,10 @@
     /// @param wall_now calendar time, from which the item's expiry counts.
     /// @return the table of the own servers as a gossip item, if it is time to spread it.
     std::optional<gossip_item> take_table_update(steady_time now, wall_time wall_now);
-    /// Takes in another owner's table. @return false if it is malformed.
-    bool on_table(std::string_view bytes, steady_time now) { return table_.merge(bytes, now); }
+    /// Takes in another owner's table. A former owner's table may arrive last, so only what the server's owner by this
+    /// VM's view says of it counts, or anybody's word on a server of which nothing is known.
+    /// @param sender the name of the gossip item. @return false if it is malformed.
+    bool on_table(std::string_view sender, std::string_view bytes, steady_time now);
     const load_table& table() const { return table_; }
 
     /// The own servers: polls that are due, and their results.
--- a/include/agatespar/request/chat_service.h
+++ b/include/agatespar/request/chat_service.h
@@ -10,6 +10,7 @@
 #include <agatespar/request/request.h>
 #include <agatespar/request/session.h>
 #include <agatespar/request/usage_account.h>
+#include <agatespar/request/waiting_room.h>
 #include <agatespar/routing/retry_budget.h>
 #include <agatespar/telemetry/trace.h>
 
@@ -67,6 +68,7 @@
     /// @return how long ago this VM last knew of the head of the configuration's log.
     std::function<duration()> log_age;
     retry_budget* retries{nullptr};
+    waiting_room* waiting{nullptr};
     answer_quality* quality{nullptr};
     crash_guard* crashes{nullptr};
     /// Spreads a verdict of the crash guard in the zone.
--- a/include/agatespar/request/service_run.h
+++ b/include/agatespar/request/service_run.h
@@ -8,6 +8,7 @@
 #include <agatespar/request/permit_source.h>
 #include <agatespar/request/request.h>
 #include <agatespar/request/usage_account.h>
+#include <agatespar/request/waiting_room.h>
 
 #include <functional>
 #include <random>
@@ -31,6 +32,7 @@
     request_counters* counters{nullptr};
     claim_client* claims{nullptr};
     retry_budget* retries{nullptr};
+    waiting_room* waiting{nullptr};
     plain_service_client client;
     permit_source permits;
     usage_account usage;
--- a/lib/backend/load_table.cpp
+++ b/lib/backend/load_table.cpp
@@ -13,14 +13,16 @@
 
 } // namespace
 
-bool load_table::merge(std::string_view bytes, steady_time now)
+bool load_table::merge(std::string_view bytes, steady_time now, const speaks_for& speaks)
 {
     const auto message = decode<server_table_message>(bytes);
     if (!message) {
         return false;
     }
     for (const server_table_entry& entry : message->servers) {
-        entries_[entry.key] = known_load{entry, now};
+        if (!speaks || speaks(entry.key)) {
+            entries_[entry.key] = known_load{entry, now};
+        }
     }
     return true;
 }
--- a/lib/backend/permit_service.cpp
+++ b/lib/backend/permit_service.cpp
@@ -151,6 +151,18 @@
                        [](const auto& one, const auto& other) { return !differs_materially(one, other); });
 }
 
+bool permit_service::on_table(std::string_view sender, std::string_view bytes, steady_time now)
+{
+    const auto speaker = decode<boot_id>(sender);
+    const auto speaks = [&](std::uint32_t key) {
+        const bool known = table_.knows(key);
+        const auto owned = std::find_if(owner_by_server_.begin(), owner_by_server_.end(),
+                                        [key](const auto& entry) { return short_key(entry.first) == key; });
+        return !known || owned == owner_by_server_.end() || (speaker && owned->second == *speaker);
+    };
+    return table_.merge(bytes, now, speaks);
+}
+
 std::optional<gossip_item> permit_service::take_table_update(steady_time now, wall_time wall_now)
 {
     if (spread_at_ && now - *spread_at_ < settings_.table_interval) {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -136,14 +136,15 @@
                   [this](const frame& received) { forwards->take(received); });
     router.handle({message_kind::forward_call, message_kind::forward_answer},
                   [this](const frame& received) { call_forwards->take(received); });
-    chat = std::make_unique<chat_service>(
-        chat_dependencies{&loop, &table, &random, &explanations, &spans, &counters, make_http_engine(http.client()),
-                          servers.source(), make_session_codec(settings.session_secret),
-                          [this](const zone_id& zone, const chat_request& request, duration remaining,
-                                 const answer_sink& sink) { return forwards->send(zone, request, remaining, sink); },
-                          usage.account(), [this] { return config.reader().contact_age(); }, &retries, &quality,
-                          &crashes, [this](const gossip_item& item) { members.members().publish(item, true); },
-                          make_rating(settings, http.client())});
+    chat = std::make_unique<chat_service>(chat_dependencies{
+        &loop, &table, &random, &explanations, &spans, &counters, make_http_engine(http.client()), servers.source(),
+        make_session_codec(settings.session_secret),
+        [this](const zone_id& zone, const chat_request& request, duration remaining, const answer_sink& sink) {
+            return forwards->send(zone, request, remaining, sink);
+        },
+        usage.account(), [this] { return config.reader().contact_age(); }, &retries, &waiting, &quality, &crashes,
+        [this](const gossip_item& item) { members.members().publish(item, true); },
+        make_rating(settings, http.client())});
     calls = service_dependencies{
         &loop,
         &table,
@@ -153,6 +154,7 @@
         &counters,
         &ledger.client(),
         &retries,
+        &waiting,
         make_http_plain_service(http.client()),
         servers.source(),
         usage.account(),
--- a/lib/node/node_services.h
+++ b/lib/node/node_services.h
@@ -70,6 +70,7 @@
     explain_store explanations;
     request_counters counters;
     retry_budget retries;
+    waiting_room waiting;
     server_table table;
     answer_quality quality;
     account_limits limits;
--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -100,7 +100,7 @@
     metrics.make_counter(name, help, std::move(labels)).value = value;
 }
 
-static void show_requests(metrics_registry& metrics, const request_counters& counters)
+static void show_requests(metrics_registry& metrics, const request_counters& counters, std::size_t waiting)
 {
     show(metrics, "agatespar_requests_started_total", "Requests that callers or other zones sent.", counters.started);
     constexpr const char* ended = "agatespar_requests_ended_total";
@@ -120,6 +120,8 @@
     show(metrics, "agatespar_server_crashes_total", "Backend servers that crashed under a request.", counters.crashes);
     show(metrics, "agatespar_quarantined_total", "Requests refused because they crash servers.", counters.quarantined);
     show(metrics, "agatespar_forwards_total", "Requests sent on to another zone.", counters.forwarded);
+    metrics.make_gauge("agatespar_requests_waiting", "Requests that wait for room on a backend server.")
+        .set(static_cast<double>(waiting));
     metrics.make_gauge("agatespar_requests_running", "Requests running now.")
         .set(static_cast<double>(counters.running));
 }
@@ -209,7 +211,7 @@
 std::string node::impl::render_metrics()
 {
     show_process(metrics);
-    show_requests(metrics, counters);
+    show_requests(metrics, counters, waiting.waiting());
     show_peer_traffic(metrics, *carrier);
     show_config(metrics, config.reader());
     show_ledger(metrics, ledger, ledger.client().counters());
--- a/lib/node/server_service.cpp
+++ b/lib/node/server_service.cpp
@@ -119,12 +119,16 @@
     }
     standing_ = standing;
     permits_.set_view(zone.owners(), zone.has_majority(), loop_.time().now());
+    // Tables that came while the view was another may be an owner's word now.
+    for (const gossip_item* item : zone.items().of_kind(gossip_kind::server_table)) {
+        permits_.on_table(item->name, item->bytes, loop_.time().now());
+    }
 }
 
 void server_service::take_item(const gossip_item& item)
 {
     if (item.kind == gossip_kind::server_table) {
-        permits_.on_table(item.bytes, loop_.time().now());
+        permits_.on_table(item.name, item.bytes, loop_.time().now());
         return;
     }
     if (item.kind != gossip_kind::server_versions) {
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -72,15 +72,34 @@
     route();
 }
 
+/// @return whether a server here or in another zone holds one of the versions.
+static bool is_served(const routing_view& view, const version_set& versions)
+{
+    const bool here = std::any_of(view.servers.begin(), view.servers.end(), [&](const server_view& server) {
+        return server.healthy && versions.test(server.version.value());
+    });
+    return here || std::any_of(view.zones.begin(), view.zones.end(), [&](const zone_view& zone) {
+               for (std::size_t i = 0; i < view.versions.size(); ++i) {
+                   if (versions.test(i) && zone.free_slots[i] > 0) {
+                       return true;
+                   }
+               }
+               return false;
+           });
+}
+
 route_request chat_run::make_route_request() const
 {
     server_table& servers = *dependencies_.servers;
     route_request route;
     route.fleet = servers.index_of(request_.account.fleet).value_or(fleet_index{});
     route.allowed = allowed_versions();
-    if (plan_) {
-        route.preferred = (second_step_ ? plan_->then : plan_->first) & route.allowed;
-        route.fallback = dependencies_.quality->fallback(request_.account.fleet) & route.allowed;
+    const version_set planned = plan_ ? (second_step_ ? plan_->then : plan_->first) & route.allowed : version_set{};
+    const version_set fallback = dependencies_.quality->fallback(request_.account.fleet) & route.allowed;
+    // A plan for models that no server holds leaves the choice among the others.
+    if (plan_ && is_served(servers.view(), planned | fallback)) {
+        route.preferred = planned;
+        route.fallback = fallback;
     }
     route.session_hash = stable_hash(session_.id);
     for (const version_id& pin : session_.pins) {
@@ -118,8 +137,8 @@
 void chat_run::route()
 {
     if (++routes_ > max_routes) {
-        fail({error_code::overloaded, "no backend server could take the request", proven_state(),
-              std::chrono::milliseconds{1000}});
+        wait_or_fail({error_code::overloaded, "no backend server could take the request", proven_state(),
+                      std::chrono::milliseconds{1000}});
         return;
     }
     const routing_view& view = dependencies_.servers->view();
@@ -130,19 +149,51 @@
         error problem = chosen.error();
         problem.ran = proven_state();
         dependencies_.counters->quarantined += explained.quarantined ? 1 : 0;
-        fail_once_known(problem);
+        wait_or_fail(problem);
         return;
     }
     if (chosen->moved_from_withdrawn) {
         moved_from_ = dependencies_.servers->target_at(chosen->moved_from).version;
     }
     if (chosen->forward) {
+        stop_waiting();
         forward(*chosen);
         return;
     }
     acquire(*chosen);
 }
 
+/// Servers that refused a permit are asked again, as a refusal says nothing about the next moment.
+void chat_run::wait_or_fail(const error& problem)
+{
+    const steady_time since = waits_since_.value_or(now());
+    if (!dependencies_.waiting->may_wait(problem, since, waits_, deadline_, now())) {
+        fail_once_known(problem);
+        return;
+    }
+    if (!waits_) {
+        waits_ = true;
+        dependencies_.waiting->enter();
+        dependencies_.explanations->add(request_.id, "There was no room, so it waits.");
+    }
+    waits_since_ = since;
+    excluded_.clear();
+    routes_ = 0;
+    retry_timer_ = dependencies_.loop->schedule(waiting_interval, [self = shared_from_this()] {
+        if (!self->closed_) {
+            self->route();
+        }
+    });
+}
+
+void chat_run::stop_waiting()
+{
+    if (waits_) {
+        waits_ = false;
+        dependencies_.waiting->leave();
+    }
+}
+
 void chat_run::explain(const outcome<decision>& result, const explanation& explained)
 {
     const server_table& servers = *dependencies_.servers;
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -74,6 +74,8 @@
     void note_crash(bool alone);
     void retry_or_fail(const error& problem);
     void fail_once_known(const error& problem);
+    void wait_or_fail(const error& problem);
+    void stop_waiting();
     void send_head(const version_id& version);
     void bill_and_finish(const std::string& finish_reason);
     void bill_partial(usage_outcome result);
@@ -102,6 +104,8 @@
     /// A crash's verdict has reached the zone's VMs by then.
     steady_time verdict_known_at_;
     std::uint32_t routes_{0};
+    std::optional<steady_time> waits_since_;
+    bool waits_{false};
     std::uint32_t attempts_{0};
     std::optional<running_attempt> attempt_;
     cancel_handle forward_cancel_;
--- a/lib/request/chat_run_attempts.cpp
+++ b/lib/request/chat_run_attempts.cpp
@@ -25,6 +25,7 @@
         route();
         return;
     }
+    stop_waiting();
     ++attempts_;
     ++dependencies_.counters->attempts;
     dependencies_.counters->resumed += delivered_tokens_ > 0 ? 1 : 0;
--- a/lib/request/chat_run_end.cpp
+++ b/lib/request/chat_run_end.cpp
@@ -106,6 +106,7 @@
 void chat_run::close()
 {
     closed_ = true;
+    stop_waiting();
     --dependencies_.counters->running;
     dependencies_.loop->cancel(deadline_timer_);
     dependencies_.loop->cancel(retry_timer_);
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -39,6 +39,8 @@
     void take_claim(outcome<claim_result>&& result);
     void wait_or_fail(const error& problem);
     void route();
+    void wait_for_room(const error& problem);
+    void stop_waiting();
     void forward(const zone_id& zone);
     void acquire(const server_id& server, const route_target& target);
     void dispatch(const server_id& server, const route_target& target, const permit& granted);
@@ -63,6 +65,8 @@
     std::optional<granted_claim> claim_;
     inline_list<server_index, max_excluded_servers> excluded_;
     std::uint32_t routes_{0};
+    std::optional<steady_time> waits_since_;
+    bool waits_{false};
     std::uint32_t attempts_{0};
     /// Whether some attempt may have reached a backend server.
     bool may_have_run_{false};
@@ -179,7 +183,8 @@
     explanation explained;
     const auto chosen = decide(view, wanted, now(), *dependencies_.random, &explained);
     if (!chosen || ++routes_ > max_routes) {
-        fail(chosen ? error{error_code::overloaded, "no backend server could take the call", {}, {}} : chosen.error());
+        wait_for_room(chosen ? error{error_code::overloaded, "no backend server could take the call", {}, {}}
+                             : chosen.error());
         return;
     }
     if (chosen->forward) {
@@ -194,8 +199,35 @@
     acquire(servers.id_at(chosen->server), target);
 }
 
+/// Servers that refused a permit are asked again, as a refusal says nothing about the next moment.
+void service_run::wait_for_room(const error& problem)
+{
+    const steady_time since = waits_since_.value_or(now());
+    if (!dependencies_.waiting->may_wait(problem, since, waits_, deadline_, now())) {
+        fail(problem);
+        return;
+    }
+    if (!waits_) {
+        waits_ = true;
+        dependencies_.waiting->enter();
+    }
+    waits_since_ = since;
+    excluded_ = {};
+    routes_ = 0;
+    dependencies_.loop->schedule(waiting_interval, [self = shared_from_this()] { self->route(); });
+}
+
+void service_run::stop_waiting()
+{
+    if (waits_) {
+        waits_ = false;
+        dependencies_.waiting->leave();
+    }
+}
+
 void service_run::forward(const zone_id& zone)
 {
+    stop_waiting();
     ++dependencies_.counters->forwarded;
     const auto self = shared_from_this();
     dependencies_.forward(zone, request_, deadline_ - now(), [self](outcome<service_answer> answer) {
@@ -252,6 +284,7 @@
             return;
         }
     }
+    stop_waiting();
     ++attempts_;
     ++dependencies_.counters->attempts;
     dependencies_.servers->count_start(server);
@@ -368,6 +401,7 @@
 
 void service_run::finish(outcome<service_answer> result)
 {
+    stop_waiting();
     --dependencies_.counters->running;
     const bool not_run = !result && result.error().ran == run_state::not_run;
     ++(result    ? dependencies_.counters->answered
--- a/unittests/request/chat_service_test.cpp
+++ b/unittests/request/chat_service_test.cpp
@@ -121,6 +121,56 @@
     CHECK(path.permits_out == 0);
 }
 
+SCENARIO("a plan for models that no server holds leaves the choice among the others")
+{
+    fake_request_path path;
+    for (const char* name : {"strong-1", "strong-2"}) {
+        path.table.apply_versions({path.fleet, server_name{name}}, {});
+    }
+    path.send("assistant");
+    REQUIRE(path.attempts.size() == 1);
+    CHECK(path.last().request.version.model == model_name{"cheap"});
+}
+
+SCENARIO("a request waits while the owners of its servers change")
+{
+    fake_request_path path;
+    path.permit_refusal = error{error_code::unavailable, "not the owner yet", run_state::not_run, std::nullopt};
+    const auto answer = path.send("strong");
+    path.loop.advance(5s);
+    CHECK(answer->closings == 0);
+    CHECK(path.waiting.waiting() == 1);
+
+    WHEN("the new owner gives out permits")
+    {
+        path.permit_refusal.reset();
+        path.loop.advance(1s);
+        THEN("it runs")
+        {
+            REQUIRE(path.attempts.size() == 1);
+            CHECK(path.waiting.waiting() == 0);
+        }
+    }
+    WHEN("no owner ever does")
+    {
+        path.loop.advance(6s);
+        THEN("it is refused as not run, and waits no more")
+        {
+            REQUIRE(answer->failure);
+            CHECK(answer->failure->ran == run_state::not_run);
+            CHECK(path.attempts.empty());
+            CHECK(path.waiting.waiting() == 0);
+        }
+    }
+    WHEN("its caller goes away")
+    {
+        path.stop();
+        path.loop.advance(20s);
+        CHECK(path.waiting.waiting() == 0);
+        CHECK(path.counters.running == 0);
+    }
+}
+
 SCENARIO("a request that crashes servers is stopped after the second one")
 {
     fake_request_path path;
--- a/unittests/request/fake_request_path.h
+++ b/unittests/request/fake_request_path.h
@@ -56,6 +56,10 @@
         parts.publish = [this](const gossip_item& item) { published.push_back(item); };
         parts.permits.acquire = [this](const server_id&, bool alone,
                                        const std::function<void(const outcome<permit>&)>& done) {
+            if (permit_refusal) {
+                done(tl::make_unexpected(*permit_refusal));
+                return;
+            }
             ++permits_out;
             permit granted;
             granted.alone = alone;
@@ -78,6 +82,7 @@
             may_finish();
         };
         parts.log_age = [this] { return log_age; };
+        parts.waiting = &waiting;
         parts.retries = &retries;
         parts.quality = &quality;
         parts.rating.rate = [this](rating_request request, rating_callback done) {
@@ -123,6 +128,9 @@
     span_recorder spans{{}, 1};
     request_counters counters;
     retry_budget retries;
+    waiting_room waiting;
+    /// Why the servers' owners refuse permits now.
+    std::optional<error> permit_refusal;
     answer_quality quality{table, boot_id{1}};
     std::unique_ptr<chat_service> service;
     cancel_handle stop;
