Let joining VMs learn the servers' load, and keep failed servers apart from full ones

Cause: a VM that joins gets the lasting gossip items by an exchange; the tables of servers are not lasting, so it saw every server as unhealthy until each owner's refresh, up to 60 s. A wait for room also forgot which servers had failed the request, so that its few attempts went to the same one again. After: an owner repeats its table when a VM joins; a wait forgets refusals at once and failures after 2 s.

--- a/benchmarks/policy/decision_cost.cpp
+++ b/benchmarks/policy/decision_cost.cpp
@@ -68,7 +68,7 @@
         server.version = version_index{static_cast<std::uint8_t>(i % versions)};
         server.limit = server.slots = 16;
         const bool full = state == server_state::all_full || (state == server_state::mostly_full && i % 29 != 0);
-        server.reported_running = full ? 16 : static_cast<std::uint16_t>(i % 12);
+        server.reported_running = full ? std::uint16_t{16} : static_cast<std::uint16_t>(i % 12);
         server.permits = state == server_state::all_full ? 0 : UINT16_MAX;
         view.servers.push_back(server);
     }
--- a/include/agatespar/backend/permit_service.h
+++ b/include/agatespar/backend/permit_service.h
@@ -59,6 +59,8 @@
     /// @param wall_now calendar time, from which the item's expiry counts.
     /// @return the table of the own servers as a gossip item, if it is time to spread it.
     std::optional<gossip_item> take_table_update(steady_time now, wall_time wall_now);
+    /// Spreads the table again at the next chance, for a VM that has just joined and knows none.
+    void repeat_table() { spread_at_.reset(); }
     /// Takes in another owner's table. A former owner's table may arrive last, so only what the server's owner by this
     /// VM's view says of it counts, or anybody's word on a server of which nothing is known.
     /// @param sender the name of the gossip item. @return false if it is malformed.
--- a/lib/node/server_service.cpp
+++ b/lib/node/server_service.cpp
@@ -100,6 +100,9 @@
         take_item(event.item);
         return;
     }
+    if (event.kind == membership_event_kind::joined) {
+        permits_.repeat_table();
+    }
     if (event.kind == membership_event_kind::presumed_dead) {
         permits_.on_presumed_dead(now);
     }
--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -13,6 +13,8 @@
 static constexpr std::uint32_t max_routes = 16;
 // Rough size of a token of the prompt, for estimates only.
 static constexpr std::size_t bytes_per_token = 4;
+// A request that finds no other server tries one again that failed it.
+static constexpr std::chrono::seconds failed_server_rest{2};
 
 chat_run::chat_run(const chat_dependencies& dependencies, chat_request request, answer_sink sink, bool forwarded)
     : dependencies_(dependencies), request_(std::move(request)), sink_(std::move(sink)), forwarded_(forwarded),
@@ -107,16 +109,8 @@
             route.pins.push(*index);
         }
     }
-    for (const server_id& server : excluded_) {
-        for (std::size_t version = 0; version < route.allowed.size(); ++version) {
-            if (!route.allowed.test(version)) {
-                continue;
-            }
-            if (const auto index = servers.index_of(server, version_index{static_cast<std::uint8_t>(version)})) {
-                route.excluded.push(*index);
-            }
-        }
-    }
+    exclude(failed_, route);
+    exclude(refused_, route);
     const auto prompt_tokens = static_cast<std::uint32_t>(request_.messages_json.size() / bytes_per_token);
     if (!request_.session_token.empty()) {
         // Each turn's prompt goes on from the one before, which its server may still hold.
@@ -134,6 +128,21 @@
     return route;
 }
 
+void chat_run::exclude(const std::vector<server_id>& tried, route_request& route) const
+{
+    for (const server_id& server : tried) {
+        for (std::size_t version = 0; version < route.allowed.size(); ++version) {
+            if (!route.allowed.test(version)) {
+                continue;
+            }
+            const version_index index{static_cast<std::uint8_t>(version)};
+            if (const auto row = dependencies_.servers->index_of(server, index)) {
+                route.excluded.push(*row);
+            }
+        }
+    }
+}
+
 void chat_run::route()
 {
     if (++routes_ > max_routes) {
@@ -177,7 +186,10 @@
         dependencies_.explanations->add(request_.id, "There was no room, so it waits.");
     }
     waits_since_ = since;
-    excluded_.clear();
+    refused_.clear();
+    if (now() - since >= failed_server_rest) {
+        failed_.clear();
+    }
     routes_ = 0;
     retry_timer_ = dependencies_.loop->schedule(waiting_interval, [self = shared_from_this()] {
         if (!self->closed_) {
@@ -288,7 +300,7 @@
             return;
         }
         if (!granted) {
-            self->excluded_.push_back(server);
+            self->refused_.push_back(server);
             self->route();
             return;
         }
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -74,6 +74,7 @@
     void note_crash(bool alone);
     void retry_or_fail(const error& problem);
     void fail_once_known(const error& problem);
+    void exclude(const std::vector<server_id>& tried, route_request& route) const;
     void wait_or_fail(const error& problem);
     void stop_waiting();
     void send_head(const version_id& version);
@@ -99,7 +100,10 @@
     wall_time started_;
     steady_time deadline_;
     timer_id deadline_timer_;
-    std::vector<server_id> excluded_;
+    /// Servers whose attempts failed.
+    std::vector<server_id> failed_;
+    /// Servers whose owners refused a permit since the last wait.
+    std::vector<server_id> refused_;
     request_fingerprint fingerprint_;
     /// A crash's verdict has reached the zone's VMs by then.
     steady_time verdict_known_at_;
--- a/lib/request/chat_run_attempts.cpp
+++ b/lib/request/chat_run_attempts.cpp
@@ -119,7 +119,7 @@
 
 void chat_run::take_error(const error& problem)
 {
-    excluded_.push_back(attempt_->server);
+    failed_.push_back(attempt_->server);
     const running_attempt ended = *attempt_;
     const work_result result = result_of(problem);
     end_attempt(result, problem.message);
--- a/lib/request/chat_run_quality.cpp
+++ b/lib/request/chat_run_quality.cpp
@@ -145,7 +145,7 @@
     answer_.clear();
     delivered_tokens_ = 0;
     attempt_first_token_ = 0;
-    excluded_.clear();
+    failed_.clear();
     route();
 }
 
