Repeat the servers' tables for a while when a VM joins

Cause: a table of servers is sent a few times and not repaired by exchanges; one item after a join could miss the joining VM, which then saw no usable server for up to 60 s. process.stops and process.at_most_once waited in vain for it. After: owners repeat their tables urgently for 20 s after a join.

--- a/include/agatespar/backend/permit_service.h
+++ b/include/agatespar/backend/permit_service.h
@@ -59,8 +59,10 @@
     /// @param wall_now calendar time, from which the item's expiry counts.
     /// @return the table of the own servers as a gossip item, if it is time to spread it.
     std::optional<gossip_item> take_table_update(steady_time now, wall_time wall_now);
-    /// Spreads the table again at the next chance, for a VM that has just joined and knows none.
-    void repeat_table() { spread_at_.reset(); }
+    /// Spreads the table again and again for a while, for a VM that has just joined and knows none; a single item may
+    /// miss it, as tables are not repaired by exchanges.
+    void repeat_table(steady_time now) { repeat_until_ = now + repeat_time; }
+    bool repeats_table(steady_time now) const { return repeat_until_ && now < *repeat_until_; }
     /// Takes in another owner's table. A former owner's table may arrive last, so only what the server's owner by this
     /// VM's view says of it counts, or anybody's word on a server of which nothing is known.
     /// @param sender the name of the gossip item. @return false if it is malformed.
@@ -92,6 +94,8 @@
     std::uint64_t table_version_{0};
     std::vector<server_table_entry> spread_table_;
     std::optional<steady_time> spread_at_;
+    static constexpr std::chrono::seconds repeat_time{20};
+    std::optional<steady_time> repeat_until_;
 };
 
 } // namespace agatespar
--- a/lib/backend/permit_service.cpp
+++ b/lib/backend/permit_service.cpp
@@ -177,7 +177,7 @@
                                status.reachable, status.start ? tag_of(*status.start) : std::uint16_t{0}});
         }
     }
-    const bool due = !spread_at_ || now - *spread_at_ >= settings_.table_refresh;
+    const bool due = !spread_at_ || now - *spread_at_ >= settings_.table_refresh || repeats_table(now);
     if (entries.empty() || (!due && !differ_materially(entries, spread_table_))) {
         return std::nullopt;
     }
--- a/lib/node/server_service.cpp
+++ b/lib/node/server_service.cpp
@@ -101,7 +101,7 @@
         return;
     }
     if (event.kind == membership_event_kind::joined) {
-        permits_.repeat_table();
+        permits_.repeat_table(now);
     }
     if (event.kind == membership_event_kind::presumed_dead) {
         permits_.on_presumed_dead(now);
@@ -158,7 +158,7 @@
         poll(key);
     }
     if (const auto item = permits_.take_table_update(now, loop_.time().wall_now())) {
-        members_.members().publish(*item, false);
+        members_.members().publish(*item, permits_.repeats_table(now));
     }
     refresh_loads();
 }
