--- a/include/agatespar/platform/http_client.h
+++ b/include/agatespar/platform/http_client.h
@@ -1,6 +1,7 @@
 // The seam to HTTP servers that all platform adapters share: bounded calls and streams.
 #pragma once
 
+#include <agatespar/http/message.h>
 #include <agatespar/support/outcome.h>
 
 #include <chrono>
@@ -11,11 +12,6 @@
 
 namespace agatespar {
 
-struct http_header {
-    std::string name;
-    std::string value;
-};
-
 struct http_request {
     std::string method{"GET"};
     std::string url;
--- /dev/null
+++ b/lib/http/client.cpp
@@ -0,0 +1,288 @@
+// Calls over kept or new connections; a request is written to one connection and never repeated here.
+#include <agatespar/http/client.h>
+#include <agatespar/telemetry/log.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+// Servers close idle connections at their own timeout; a kept one is given up this long before.
+static constexpr std::chrono::milliseconds keep_margin{700};
+static constexpr int status_continue = 100;
+static constexpr int first_final_status = 200;
+
+client_call::client_call(connection_pool& pool, std::string key, client_callbacks callbacks)
+    : pool_(&pool), key_(std::move(key)), callbacks_(std::make_shared<client_callbacks>(std::move(callbacks)))
+{
+}
+
+client_call::~client_call()
+{
+    cancel();
+}
+
+void client_call::cancel()
+{
+    stop_timer();
+    callbacks_.reset();
+    if (stream_) {
+        stream_->close();
+        stream_.reset();
+    }
+}
+
+void client_call::pause(bool paused)
+{
+    if (stream_) {
+        stream_->pause_reading(paused);
+    }
+}
+
+void client_call::stop_timer()
+{
+    if (connect_timer_) {
+        pool_->loop_.cancel(*connect_timer_);
+        connect_timer_.reset();
+    }
+}
+
+tcp_callbacks client_call::make_callbacks()
+{
+    tcp_callbacks callbacks;
+    callbacks.connected = [this] { stop_timer(); };
+    callbacks.received = [this](std::string_view bytes) {
+        const auto self = shared_from_this();
+        self->on_bytes(bytes);
+    };
+    callbacks.ended = [this](stream_end how) {
+        const auto self = shared_from_this();
+        self->on_end(how);
+    };
+    return callbacks;
+}
+
+outcome<void> client_call::open(const std::string& address, std::chrono::milliseconds connect_time)
+{
+    auto stream = tcp_stream::connect(pool_->loop_, address, make_callbacks());
+    if (!stream) {
+        return tl::make_unexpected(stream.error());
+    }
+    stream_ = std::move(*stream);
+    connect_timer_ = pool_->loop_.schedule(connect_time, [this] {
+        const auto self = shared_from_this();
+        self->connect_timer_.reset();
+        self->fail("the server did not take the connection in time");
+    });
+    return {};
+}
+
+void client_call::use(std::shared_ptr<tcp_stream> stream)
+{
+    stream_ = std::move(stream);
+    stream_->forget_sent();
+    stream_->set_callbacks(make_callbacks());
+}
+
+void client_call::send(const http_request_head& head, std::string_view body)
+{
+    head_request_ = head.method == "HEAD";
+    start_reading();
+    std::string message = write_request_head(head, body.size());
+    message.append(body);
+    stream_->write(message);
+}
+
+void client_call::start_reading()
+{
+    const auto on_body = [this](std::string_view bytes) {
+        if (const auto callbacks = callbacks_; callbacks && !skipping_) {
+            callbacks->body(bytes);
+        }
+    };
+    reader_ = std::make_unique<answer_reader>(
+        pool_->limits_.answer, message_callbacks<http_answer_head>{
+                                   [this](http_answer_head received) { take_head(std::move(received)); }, on_body});
+    if (head_request_) {
+        reader_->expect_no_body();
+    }
+}
+
+void client_call::take_head(http_answer_head head)
+{
+    head_ = std::move(head);
+    skipping_ = head_.status >= status_continue && head_.status < first_final_status;
+    if (!skipping_ && !expected_id_.empty()) {
+        const auto id = find_header(head_.headers, expected_id_header_);
+        if (id && *id != expected_id_) {
+            ++pool_->counters_.strange_answers;
+            skipping_ = true;
+            reusable_ = false;
+        }
+    }
+    if (const auto callbacks = callbacks_; callbacks && !skipping_) {
+        callbacks->head(head_);
+    }
+}
+
+void client_call::on_bytes(std::string_view bytes)
+{
+    input_.append(bytes);
+    while (stream_ && reader_ && !input_.empty()) {
+        const outcome<void> result = reader_->feed(input_);
+        if (!stream_) {
+            return;
+        }
+        if (!result) {
+            fail("the server sent no valid answer: " + result.error().message);
+            return;
+        }
+        if (!reader_->is_done()) {
+            return;
+        }
+        if (!skipping_) {
+            finish();
+            return;
+        }
+        start_reading();
+    }
+}
+
+void client_call::on_end(stream_end how)
+{
+    const bool may_end_body =
+        how == stream_end::closed && reader_ && reader_->is_head_done() && !skipping_ && head_.ends_with_connection;
+    if (may_end_body && reader_->feed_end()) {
+        reusable_ = false;
+        finish();
+        return;
+    }
+    fail(how == stream_end::closed ? "the server closed the connection" : "the connection broke");
+}
+
+void client_call::finish()
+{
+    stop_timer();
+    auto stream = std::move(stream_);
+    stream_.reset();
+    // Bytes beyond the answer, or a request that was not taken whole, leave the connection in doubt.
+    if (reusable_ && head_.keep_alive && input_.empty() && stream->unsent() == 0 && stream->is_open()) {
+        pool_->keep(key_, std::move(stream), head_);
+    }
+    else {
+        stream->close();
+    }
+    if (const auto callbacks = std::move(callbacks_)) {
+        callbacks_.reset();
+        callbacks->done();
+    }
+}
+
+void client_call::fail(const std::string& reason)
+{
+    stop_timer();
+    const send_failure failed{stream_ && stream_->has_sent() ? send_state::sent : send_state::not_sent, reason};
+    if (stream_) {
+        stream_->close();
+        stream_.reset();
+    }
+    if (const auto callbacks = std::move(callbacks_)) {
+        callbacks_.reset();
+        callbacks->failed(failed);
+    }
+}
+
+connection_pool::connection_pool(event_loop& loop, const pool_limits& limits) : loop_(loop), limits_(limits) {}
+
+connection_pool::~connection_pool()
+{
+    for (auto& [key, connections] : kept_) {
+        for (kept& each : connections) {
+            each.stream->close();
+        }
+    }
+}
+
+outcome<std::shared_ptr<client_call>> connection_pool::start(const client_request& request, client_callbacks callbacks)
+{
+    auto call = std::make_shared<client_call>(*this, request.key, std::move(callbacks));
+    call->expected_id_header_ = request.id_header;
+    if (!request.id_header.empty()) {
+        call->expected_id_ = std::string{find_header(request.head.headers, request.id_header).value_or("")};
+    }
+    auto reused = request.may_reuse ? take_kept(request.key) : nullptr;
+    if (reused) {
+        ++counters_.reused;
+        call->use(std::move(reused));
+    }
+    else {
+        ++counters_.opened;
+        const outcome<void> opened = call->open(request.address, request.connect_time);
+        if (!opened) {
+            return tl::make_unexpected(opened.error());
+        }
+    }
+    call->send(request.head, request.body);
+    return call;
+}
+
+std::shared_ptr<tcp_stream> connection_pool::take_kept(const std::string& key)
+{
+    const auto found = kept_.find(key);
+    if (found == kept_.end()) {
+        return nullptr;
+    }
+    const steady_time now = loop_.time().now();
+    auto& connections = found->second;
+    while (!connections.empty()) {
+        // The newest first, so that the others can lapse.
+        kept newest = std::move(connections.back());
+        connections.pop_back();
+        if (newest.stream->is_open() && newest.until > now) {
+            return std::move(newest.stream);
+        }
+        newest.stream->close();
+    }
+    kept_.erase(found);
+    return nullptr;
+}
+
+void connection_pool::keep(const std::string& key, std::shared_ptr<tcp_stream> stream, const http_answer_head& head)
+{
+    std::chrono::milliseconds time = limits_.kept_time;
+    if (const auto told = find_header(head.headers, "keep-alive")) {
+        const std::size_t position = told->find("timeout=");
+        if (position != std::string_view::npos) {
+            const std::string_view rest = told->substr(position + 8);
+            if (const auto seconds = parse_number(rest.substr(0, rest.find_first_not_of("0123456789")))) {
+                time = std::chrono::seconds{std::min<std::uint64_t>(*seconds, 3600)} - keep_margin;
+            }
+        }
+    }
+    auto& connections = kept_[key];
+    if (time <= time.zero() || connections.size() >= limits_.kept_per_server) {
+        stream->close();
+        return;
+    }
+    // Whatever a server says on an idle connection, its end or an extra answer, makes it unusable.
+    auto* plain = stream.get();
+    tcp_callbacks callbacks;
+    callbacks.received = [plain](std::string_view) { plain->close(); };
+    callbacks.ended = [](stream_end) {};
+    stream->set_callbacks(std::move(callbacks));
+    connections.push_back({std::move(stream), loop_.time().now() + time});
+    std::erase_if(connections, [](const kept& each) { return !each.stream->is_open(); });
+}
+
+void connection_pool::forget(const std::string& key)
+{
+    const auto found = kept_.find(key);
+    if (found == kept_.end()) {
+        return;
+    }
+    for (kept& each : found->second) {
+        each.stream->close();
+    }
+    kept_.erase(found);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/http/message.cpp
@@ -0,0 +1,108 @@
+// Looks up header fields and writes heads.
+#include <agatespar/http/message.h>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace agatespar {
+
+bool equal_without_case(std::string_view left, std::string_view right)
+{
+    return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+std::optional<std::string_view> find_header(const http_headers& headers, std::string_view name)
+{
+    for (const http_header& header : headers) {
+        if (equal_without_case(header.name, name)) {
+            return header.value;
+        }
+    }
+    return std::nullopt;
+}
+
+bool is_repeated(const http_headers& headers, std::string_view name)
+{
+    const auto same = [name](const http_header& header) { return equal_without_case(header.name, name); };
+    return std::count_if(headers.begin(), headers.end(), same) > 1;
+}
+
+std::optional<std::uint64_t> parse_number(std::string_view text)
+{
+    std::uint64_t number = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return number;
+}
+
+bool is_hop_by_hop(const http_headers& headers, std::string_view name)
+{
+    static constexpr std::array<std::string_view, 10> fixed{
+        "connection", "keep-alive",       "te",     "trailer",        "transfer-encoding",
+        "upgrade",    "proxy-connection", "expect", "content-length", "proxy-authorization"};
+    const auto same = [name](std::string_view other) { return equal_without_case(other, name); };
+    if (std::any_of(fixed.begin(), fixed.end(), same)) {
+        return true;
+    }
+    const boost::beast::string_view wanted{name.data(), name.size()};
+    for (const http_header& header : headers) {
+        if (equal_without_case(header.name, "connection") &&
+            boost::beast::http::token_list{header.value}.exists(wanted)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void append_fields(std::string& text, const http_headers& headers)
+{
+    for (const http_header& header : headers) {
+        text.append(header.name).append(": ").append(header.value).append("\r\n");
+    }
+}
+
+std::string write_request_head(const http_request_head& head, std::size_t body_size)
+{
+    std::string text;
+    text.append(head.method).append(" ").append(head.target).append(" HTTP/1.1\r\n");
+    append_fields(text, head.headers);
+    const bool bodiless = head.method == "GET" || head.method == "HEAD" || head.method == "DELETE";
+    if (body_size > 0 || !bodiless) {
+        text.append("Content-Length: ").append(std::to_string(body_size)).append("\r\n");
+    }
+    return text.append("\r\n");
+}
+
+std::string write_answer_head(const http_answer_head& head, body_framing framing, std::size_t length, bool keep_alive)
+{
+    std::string text;
+    text.append("HTTP/1.1 ").append(std::to_string(head.status)).append(" ").append(head.reason).append("\r\n");
+    append_fields(text, head.headers);
+    if (framing == body_framing::length) {
+        text.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+    }
+    if (framing == body_framing::chunks) {
+        text.append("Transfer-Encoding: chunked\r\n");
+    }
+    if (!keep_alive) {
+        text.append("Connection: close\r\n");
+    }
+    return text.append("\r\n");
+}
+
+std::string write_chunk(std::string_view bytes)
+{
+    std::array<char, 16> size{};
+    const auto written = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+    std::string text{size.data(), written.ptr};
+    return text.append("\r\n").append(bytes).append("\r\n");
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/http/server.cpp
@@ -0,0 +1,211 @@
+// The listener, and one request with the means to answer it.
+#include "server_connection.h"
+
+#include <agatespar/http/server.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace agatespar {
+
+static constexpr int first_status_with_body = 200;
+static constexpr int status_no_content = 204;
+static constexpr int status_not_modified = 304;
+
+http_answer_head own_answer(int status)
+{
+    http_answer_head head;
+    head.status = status;
+    switch (status) {
+    case 200:
+        head.reason = "OK";
+        break;
+    case 400:
+        head.reason = "Bad Request";
+        break;
+    case 401:
+        head.reason = "Unauthorized";
+        break;
+    case 404:
+        head.reason = "Not Found";
+        break;
+    case 408:
+        head.reason = "Request Timeout";
+        break;
+    case 413:
+        head.reason = "Content Too Large";
+        break;
+    case 431:
+        head.reason = "Request Header Fields Too Large";
+        break;
+    case 502:
+        head.reason = "Bad Gateway";
+        break;
+    case 503:
+        head.reason = "Service Unavailable";
+        break;
+    case 504:
+        head.reason = "Gateway Timeout";
+        break;
+    default:
+        assert(false && "each status of the router's own has a reason phrase");
+        break;
+    }
+    return head;
+}
+
+server_exchange::server_exchange(std::shared_ptr<server_connection> connection, http_request_head head,
+                                 std::string body, steady_time began)
+    : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)), began_(began)
+{
+}
+
+server_exchange::~server_exchange()
+{
+    // An exchange that nobody answered must not leave its client waiting.
+    abort();
+}
+
+void server_exchange::answer(const http_answer_head& head, std::string_view body)
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    assert(!begun_ && "a request is answered once");
+    begun_ = true;
+    const bool keep_alive = !connection_->closes_after_answer();
+    const bool bodiless =
+        head.status < first_status_with_body || head.status == status_no_content || head.status == status_not_modified;
+    connection_->write(
+        write_answer_head(head, bodiless ? body_framing::none : body_framing::length, body.size(), keep_alive));
+    if (!bodiless && head_.method != "HEAD") {
+        connection_->write(body);
+    }
+    end(keep_alive);
+}
+
+void server_exchange::begin(const http_answer_head& head)
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    assert(!begun_ && "a request is answered once");
+    begun_ = true;
+    connection_->write(write_answer_head(head, body_framing::chunks, 0, !connection_->closes_after_answer()));
+}
+
+void server_exchange::send_piece(std::string_view bytes)
+{
+    // An empty chunk would end the body.
+    if (connection_ != nullptr && !bytes.empty()) {
+        connection_->write(write_chunk(bytes));
+    }
+}
+
+void server_exchange::finish()
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    connection_->write(last_chunk);
+    // What the head said holds, also if the listener began to close since.
+    end(!connection_->closes_after_answer());
+}
+
+void server_exchange::end(bool keep_alive)
+{
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    gone_ = nullptr;
+    drained_ = nullptr;
+    connection->end_exchange(keep_alive);
+}
+
+void server_exchange::abort()
+{
+    if (connection_ == nullptr) {
+        return;
+    }
+    const auto connection = std::move(connection_);
+    connection_.reset();
+    gone_ = nullptr;
+    drained_ = nullptr;
+    connection->break_off();
+}
+
+std::size_t server_exchange::unsent() const
+{
+    return connection_ == nullptr ? 0 : connection_->unsent();
+}
+
+void server_exchange::tell_gone()
+{
+    connection_.reset();
+    drained_ = nullptr;
+    const auto gone = std::move(gone_);
+    gone_ = nullptr;
+    if (gone) {
+        gone();
+    }
+}
+
+outcome<std::unique_ptr<http_listener>> http_listener::open(event_loop& loop, const std::string& address,
+                                                            const server_limits& limits, exchange_callback handler)
+{
+    auto listener = std::make_unique<http_listener>(loop, limits, std::move(handler));
+    auto* self = listener.get();
+    auto opened = tcp_listener::open(loop, address, [self](std::shared_ptr<tcp_stream> stream) {
+        const auto connection = std::make_shared<server_connection>(*self, std::move(stream));
+        self->connections_.insert(connection);
+        connection->start();
+    });
+    if (!opened) {
+        return tl::make_unexpected(opened.error());
+    }
+    listener->listener_ = std::move(*opened);
+    return listener;
+}
+
+http_listener::http_listener(event_loop& loop, const server_limits& limits, exchange_callback handler)
+    : loop_(loop), limits_(limits), handler_(std::move(handler))
+{
+}
+
+http_listener::~http_listener()
+{
+    const auto connections = std::move(connections_);
+    connections_.clear();
+    for (const auto& connection : connections) {
+        connection->detach();
+    }
+}
+
+void http_listener::stop()
+{
+    closing_ = true;
+    listener_.reset();
+    const auto connections = connections_;
+    for (const auto& connection : connections) {
+        connection->close_if_idle();
+    }
+}
+
+std::size_t http_listener::open_exchanges() const
+{
+    std::size_t open = 0;
+    for (const auto& connection : connections_) {
+        open += connection->is_busy() ? 1 : 0;
+    }
+    return open;
+}
+
+std::size_t http_listener::lingering() const
+{
+    const auto is_open = [](const std::weak_ptr<tcp_stream>& stream) {
+        const auto held = stream.lock();
+        return held && held->is_open();
+    };
+    return static_cast<std::size_t>(std::count_if(lingering_.begin(), lingering_.end(), is_open));
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/http/server_connection.cpp
@@ -0,0 +1,208 @@
+// Reads requests from a client's connection one after the other and writes the answers.
+#include "server_connection.h"
+
+#include <agatespar/telemetry/log.h>
+
+#include <cassert>
+
+namespace agatespar {
+
+// Bytes of further requests that a client may send ahead while its request is answered; reading pauses beyond.
+static constexpr std::size_t most_ahead = 64 * 1024;
+
+static constexpr int status_timeout = 408;
+static constexpr int status_bad_request = 400;
+static constexpr int status_body_too_large = 413;
+static constexpr int status_header_too_large = 431;
+
+server_connection::server_connection(http_listener& listener, std::shared_ptr<tcp_stream> stream)
+    : listener_(&listener), loop_(listener.loop_), stream_(std::move(stream))
+{
+}
+
+void server_connection::start()
+{
+    // The listener owns the connection and forget() clears the callbacks, so the plain pointer is safe.
+    tcp_callbacks callbacks;
+    callbacks.received = [this](std::string_view bytes) {
+        const auto self = shared_from_this();
+        self->on_bytes(bytes);
+    };
+    callbacks.ended = [this](stream_end) {
+        const auto self = shared_from_this();
+        self->on_end();
+    };
+    callbacks.drained = [this] {
+        const auto self = shared_from_this();
+        if (const auto exchange = self->exchange_.lock(); exchange && exchange->drained_) {
+            exchange->drained_();
+        }
+    };
+    stream_->set_callbacks(std::move(callbacks));
+    start_timer(listener_->limits_.idle_time, 0);
+}
+
+void server_connection::on_bytes(std::string_view bytes)
+{
+    input_.append(bytes);
+    if (is_busy()) {
+        stream_->pause_reading(input_.size() > most_ahead);
+        return;
+    }
+    read_request();
+}
+
+void server_connection::read_request()
+{
+    if (!reader_) {
+        began_ = loop_.time().now();
+        body_.clear();
+        reader_.emplace(listener_->limits_.message, message_callbacks<http_request_head>{
+                                                        [this](http_request_head head) { take_head(std::move(head)); },
+                                                        [this](std::string_view bytes) { body_.append(bytes); }});
+        start_timer(listener_->limits_.request_time, status_timeout);
+    }
+    const outcome<void> result = reader_->feed(input_);
+    if (!result) {
+        const bool header = result.error().message == "header";
+        const bool large = result.error().code == error_code::too_large;
+        refuse(large ? (header ? status_header_too_large : status_body_too_large) : status_bad_request);
+        return;
+    }
+    if (reader_->is_done()) {
+        hand_over();
+    }
+}
+
+void server_connection::take_head(http_request_head head)
+{
+    head_keeps_alive_ = head.keep_alive;
+    const auto expected = find_header(head.headers, "expect");
+    if (expected && equal_without_case(*expected, "100-continue")) {
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    head_ = std::move(head);
+}
+
+void server_connection::hand_over()
+{
+    stop_timer();
+    reader_.reset();
+    if (is_repeated(head_.headers, "host") || !find_header(head_.headers, "host")) {
+        refuse(status_bad_request);
+        return;
+    }
+    const auto exchange =
+        std::make_shared<server_exchange>(shared_from_this(), std::move(head_), std::move(body_), began_);
+    head_ = {};
+    body_ = {};
+    exchange_ = exchange;
+    listener_->handler_(exchange);
+}
+
+void server_connection::refuse(int status)
+{
+    stop_timer();
+    stream_->write(write_answer_head(own_answer(status), body_framing::length, 0, false));
+    close_when_sent();
+}
+
+bool server_connection::closes_after_answer() const
+{
+    return !head_keeps_alive_ || listener_ == nullptr || listener_->closing_;
+}
+
+void server_connection::end_exchange(bool keep_alive)
+{
+    exchange_.reset();
+    if (!keep_alive || listener_ == nullptr) {
+        close_when_sent();
+        return;
+    }
+    start_timer(listener_->limits_.idle_time, 0);
+    stream_->pause_reading(false);
+    if (!input_.empty()) {
+        // From the loop, as the caller may still be at work on the exchange that has just ended.
+        loop_.post([self = shared_from_this()] {
+            if (self->listener_ != nullptr && !self->is_busy() && !self->input_.empty()) {
+                self->read_request();
+            }
+        });
+    }
+}
+
+void server_connection::break_off()
+{
+    exchange_.reset();
+    stream_->close();
+    forget();
+}
+
+void server_connection::close_if_idle()
+{
+    if (!is_busy() && !reader_ && input_.empty()) {
+        close_when_sent();
+    }
+}
+
+void server_connection::on_end()
+{
+    const auto exchange = exchange_.lock();
+    exchange_.reset();
+    forget();
+    if (exchange) {
+        exchange->tell_gone();
+    }
+}
+
+void server_connection::start_timer(std::chrono::milliseconds delay, int status_on_expiry)
+{
+    stop_timer();
+    timer_ = loop_.schedule(delay, [this, status_on_expiry] {
+        const auto self = shared_from_this();
+        self->timer_.reset();
+        if (status_on_expiry != 0) {
+            self->refuse(status_on_expiry);
+        }
+        else {
+            self->close_when_sent();
+        }
+    });
+}
+
+void server_connection::stop_timer()
+{
+    if (timer_) {
+        loop_.cancel(*timer_);
+        timer_.reset();
+    }
+}
+
+void server_connection::close_when_sent()
+{
+    if (listener_ != nullptr) {
+        std::erase_if(listener_->lingering_, [](const auto& stream) { return stream.expired(); });
+        listener_->lingering_.push_back(stream_);
+    }
+    stream_->close_when_sent();
+    forget();
+}
+
+void server_connection::forget()
+{
+    stop_timer();
+    if (listener_ != nullptr) {
+        auto* listener = listener_;
+        listener_ = nullptr;
+        listener->connections_.erase(shared_from_this());
+    }
+}
+
+void server_connection::detach()
+{
+    stop_timer();
+    listener_ = nullptr;
+    stream_->close();
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/http/tcp_stream.cpp
@@ -0,0 +1,339 @@
+// Non-blocking sockets over the event loop.
+#include <agatespar/http/tcp_stream.h>
+#include <agatespar/telemetry/log.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+namespace agatespar {
+
+// One read takes at most this much, so that one connection does not hold up the others.
+static constexpr std::size_t read_size = 16 * 1024;
+// How long a closed side waits for the peer to read the rest: a few round trips between regions.
+static constexpr std::chrono::milliseconds linger_time{1000};
+// Unacknowledged bytes end a connection after this time, as a VM without power never answers: the pages' contact time.
+static constexpr unsigned unacknowledged_ms = 3000;
+// A connection on which nothing is due is probed, so that a silent one ends within the same time.
+static constexpr int keepalive_s = 1;
+static constexpr int keepalive_probes = 2;
+// Pending connections of a listener; a VM takes the clients of a zone whose other VMs failed.
+static constexpr int accept_queue = 1024;
+
+static std::optional<sockaddr_in> parse_address(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc{} || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    if (inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr) != 1) {
+        return std::nullopt;
+    }
+    return address;
+}
+
+static void set_options(int descriptor)
+{
+    const int one = 1;
+    const unsigned timeout = unacknowledged_ms;
+    const int probe_s = keepalive_s;
+    const int probes = keepalive_probes;
+    // These only tune the connection; without them it is slower to send or to notice a silent peer.
+    if (setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one) != 0 ||
+        setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout) != 0 ||
+        setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one) != 0 ||
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probe_s, sizeof probe_s) != 0 ||
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_s, sizeof probe_s) != 0 ||
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes) != 0) {
+        log_event(log_severity::debug, "socket_option_refused", {{"reason", std::strerror(errno)}});
+    }
+}
+
+outcome<std::shared_ptr<tcp_stream>> tcp_stream::connect(event_loop& loop, const std::string& address,
+                                                         tcp_callbacks callbacks)
+{
+    const auto target = parse_address(address);
+    if (!target) {
+        return failure(error_code::invalid_argument, "'" + address + "' is no IPv4 address with a port");
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return failure(error_code::unavailable, std::string{"no socket: "} + std::strerror(errno));
+    }
+    set_options(descriptor);
+    const int result = ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*target), sizeof *target);
+    if (result != 0 && errno != EINPROGRESS) {
+        const std::string reason = std::strerror(errno);
+        ::close(descriptor);
+        return failure(error_code::unavailable, "cannot connect to " + address + ": " + reason);
+    }
+    auto stream = std::make_shared<tcp_stream>(loop, descriptor, true);
+    stream->set_callbacks(std::move(callbacks));
+    return stream;
+}
+
+std::shared_ptr<tcp_stream> tcp_stream::adopt(event_loop& loop, int descriptor)
+{
+    set_options(descriptor);
+    return std::make_shared<tcp_stream>(loop, descriptor, false);
+}
+
+tcp_stream::tcp_stream(event_loop& loop, int descriptor, bool connecting)
+    : loop_(loop), descriptor_(descriptor), connecting_(connecting)
+{
+    callbacks_ = std::make_shared<tcp_callbacks>();
+    // The watch ends with this object, so the plain pointer is safe; the callback keeps the object alive meanwhile.
+    watch_.emplace(descriptor, [this](descriptor_events events) {
+        const auto self = shared_from_this();
+        self->on_ready(events);
+    });
+    update_watch();
+}
+
+void tcp_stream::set_callbacks(tcp_callbacks callbacks)
+{
+    callbacks_ = std::make_shared<tcp_callbacks>(std::move(callbacks));
+}
+
+tcp_stream::~tcp_stream()
+{
+    // The timer holds the stream, so if it is still set, its loop is just dropping it.
+    linger_timer_.reset();
+    close();
+}
+
+void tcp_stream::update_watch()
+{
+    if (watch_) {
+        watch_->wait_for(!connecting_ && (!paused_ || lingering_), connecting_ || !output_.empty());
+    }
+}
+
+void tcp_stream::on_ready(descriptor_events events)
+{
+    if (connecting_) {
+        finish_connect();
+        return;
+    }
+    if (events.readable) {
+        read_available();
+    }
+    if (is_open() && events.writable) {
+        send_pending(true);
+    }
+    if (is_open() && events.ended && !events.readable) {
+        end(stream_end::broken);
+    }
+}
+
+void tcp_stream::finish_connect()
+{
+    int problem = 0;
+    socklen_t size = sizeof problem;
+    if (getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &problem, &size) != 0 || problem != 0) {
+        end(stream_end::broken);
+        return;
+    }
+    connecting_ = false;
+    update_watch();
+    if (const auto callbacks = callbacks_; callbacks->connected) {
+        callbacks->connected();
+    }
+    if (is_open() && !output_.empty()) {
+        send_pending(true);
+    }
+}
+
+void tcp_stream::read_available()
+{
+    std::array<char, read_size> buffer; // NOLINT: filled by recv
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (count > 0) {
+        if (const auto callbacks = callbacks_; !lingering_ && callbacks->received) {
+            callbacks->received({buffer.data(), static_cast<std::size_t>(count)});
+        }
+        return;
+    }
+    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+        return;
+    }
+    end(count == 0 ? stream_end::closed : stream_end::broken);
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    if (!is_open() || bytes.empty()) {
+        return;
+    }
+    output_.append(bytes);
+    if (!connecting_) {
+        send_pending(false);
+    }
+}
+
+void tcp_stream::send_pending(bool was_waiting)
+{
+    if (output_.empty()) {
+        return;
+    }
+    const ssize_t count = send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+    if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
+        // Reported from the loop, not from within write(), so that writers need not expect to be destroyed.
+        output_.clear();
+        broken_ = true;
+        shutdown(descriptor_, SHUT_RDWR);
+        update_watch();
+        return;
+    }
+    if (count > 0) {
+        has_sent_ = true;
+        output_.erase(0, static_cast<std::size_t>(count));
+    }
+    update_watch();
+    if (output_.empty()) {
+        after_sending(was_waiting);
+    }
+}
+
+void tcp_stream::after_sending(bool was_waiting)
+{
+    if (lingering_) {
+        shutdown(descriptor_, SHUT_WR);
+        return;
+    }
+    if (const auto callbacks = callbacks_; was_waiting && callbacks->drained) {
+        callbacks->drained();
+    }
+}
+
+void tcp_stream::pause_reading(bool paused)
+{
+    if (paused_ != paused) {
+        paused_ = paused;
+        update_watch();
+    }
+}
+
+void tcp_stream::end(stream_end how)
+{
+    const auto callbacks = callbacks_;
+    const bool tell = !lingering_;
+    close();
+    if (tell && callbacks->ended) {
+        callbacks->ended(broken_ ? stream_end::broken : how);
+    }
+}
+
+void tcp_stream::close()
+{
+    if (!is_open()) {
+        return;
+    }
+    watch_.reset();
+    ::close(descriptor_);
+    descriptor_ = -1;
+    callbacks_ = std::make_shared<tcp_callbacks>();
+    output_.clear();
+    if (linger_timer_) {
+        // Cancelling drops the timer's hold on this stream.
+        const auto self = shared_from_this();
+        loop_.cancel(*linger_timer_);
+        linger_timer_.reset();
+    }
+}
+
+void tcp_stream::close_when_sent()
+{
+    if (!is_open() || lingering_) {
+        return;
+    }
+    lingering_ = true;
+    callbacks_ = std::make_shared<tcp_callbacks>();
+    // The timer keeps the stream alive after its owner dropped it.
+    linger_timer_ = loop_.schedule(linger_time, [self = shared_from_this()] {
+        self->linger_timer_.reset();
+        self->close();
+    });
+    update_watch();
+    if (output_.empty()) {
+        after_sending(false);
+    }
+}
+
+outcome<std::unique_ptr<tcp_listener>> tcp_listener::open(event_loop& loop, const std::string& address,
+                                                          accept_callback on_accept)
+{
+    const auto wanted = parse_address(address);
+    if (!wanted) {
+        return failure(error_code::invalid_argument, "'" + address + "' is no IPv4 address with a port");
+    }
+    const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return failure(error_code::unavailable, std::string{"no socket: "} + std::strerror(errno));
+    }
+    const int one = 1;
+    if (setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
+        bind(descriptor, reinterpret_cast<const sockaddr*>(&*wanted), sizeof *wanted) != 0 ||
+        listen(descriptor, accept_queue) != 0) {
+        const std::string reason = std::strerror(errno);
+        ::close(descriptor);
+        return failure(error_code::unavailable, "cannot listen on " + address + ": " + reason);
+    }
+    return std::make_unique<tcp_listener>(loop, descriptor, std::move(on_accept));
+}
+
+tcp_listener::tcp_listener(event_loop& loop, int descriptor, accept_callback on_accept)
+    : loop_(loop), descriptor_(descriptor), on_accept_(std::move(on_accept)),
+      watch_(descriptor, [this](descriptor_events) { accept_all(); })
+{
+    watch_.wait_for(true, false);
+}
+
+tcp_listener::~tcp_listener()
+{
+    ::close(descriptor_);
+}
+
+std::string tcp_listener::address() const
+{
+    sockaddr_in bound{};
+    socklen_t size = sizeof bound;
+    if (getsockname(descriptor_, reinterpret_cast<sockaddr*>(&bound), &size) != 0) {
+        return {};
+    }
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &bound.sin_addr, text.data(), text.size());
+    return std::string{text.data()} + ":" + std::to_string(ntohs(bound.sin_port));
+}
+
+void tcp_listener::accept_all()
+{
+    // A callback may end the listener, so at most a few connections are taken in a turn and none after it.
+    const int accepted = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (accepted >= 0) {
+        on_accept_(tcp_stream::adopt(loop_, accepted));
+        return;
+    }
+    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED) {
+        log_event(log_severity::warning, "accept_failed", {{"reason", std::strerror(errno)}});
+    }
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/unittests/http/client_test.cpp
@@ -0,0 +1,208 @@
+// Tests of the client side: one send for one call, connections that are kept or not, and answers of other requests.
+#include "loopback.h"
+
+#include <agatespar/http/client.h>
+
+using namespace agatespar;
+using namespace agatespar::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct called {
+    std::optional<http_answer_head> head;
+    std::string body;
+    bool done{false};
+    std::optional<send_failure> failed;
+
+    bool ended() const { return done || failed; }
+};
+
+struct calling {
+    glib_event_loop loop;
+    raw_server server{loop};
+    connection_pool pool{loop, pool_limits{}};
+    client_request request;
+
+    calling()
+    {
+        request.key = "server-1";
+        request.address = server.listener->address();
+        request.head = {"GET", "/x", {{"Host", "a"}, {"X-Id", "7"}}, true};
+        request.id_header = "X-Id";
+    }
+    std::shared_ptr<client_call> start(called& result)
+    {
+        client_callbacks callbacks;
+        callbacks.head = [&result](const http_answer_head& head) { result.head = head; };
+        callbacks.body = [&result](std::string_view bytes) { result.body.append(bytes); };
+        callbacks.done = [&result] { result.done = true; };
+        callbacks.failed = [&result](const send_failure& failure) { result.failed = failure; };
+        auto call = pool.start(request, std::move(callbacks));
+        REQUIRE(call);
+        return *call;
+    }
+    void wait_for_request(std::size_t peer)
+    {
+        run_until(loop, [this, peer] {
+            return server.peers.size() > peer && server.peers[peer]->received.ends_with("\r\n\r\n");
+        });
+    }
+    void answer(std::size_t peer, const std::string& bytes) { server.peers[peer]->stream->write(bytes); }
+};
+
+const std::string whole_answer = "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+SCENARIO("a connection is kept after a whole answer, for the same server only")
+{
+    calling test;
+    called first;
+    const auto call = test.start(first);
+    test.wait_for_request(0);
+    test.answer(0, whole_answer);
+    run_until(test.loop, [&first] { return first.ended(); });
+    REQUIRE(first.done);
+    CHECK(first.body == "ok");
+
+    called second;
+    WHEN("the next call goes to the same server")
+    {
+        test.server.peers[0]->received.clear();
+        const auto next = test.start(second);
+        test.wait_for_request(0);
+        CHECK(test.server.peers.size() == 1);
+        CHECK(test.pool.counters().reused == 1);
+    }
+    WHEN("the next call must not risk a connection that may close")
+    {
+        test.request.may_reuse = false;
+        const auto next = test.start(second);
+        test.wait_for_request(1);
+    }
+    WHEN("another server has the same address")
+    {
+        test.request.key = "server-2";
+        const auto next = test.start(second);
+        test.wait_for_request(1);
+    }
+    WHEN("the server sends something more on the idle connection")
+    {
+        test.answer(0, whole_answer);
+        run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
+        const auto next = test.start(second);
+        test.wait_for_request(1);
+    }
+}
+
+SCENARIO("an answer of another request is skipped, and its connection not kept")
+{
+    calling test;
+    called result;
+    const auto call = test.start(result);
+    test.wait_for_request(0);
+    test.answer(0, "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 5\r\n\r\nother" + whole_answer);
+    run_until(test.loop, [&result] { return result.ended(); });
+    REQUIRE(result.done);
+    CHECK(result.body == "ok");
+    CHECK(test.pool.counters().strange_answers == 1);
+    run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
+}
+
+SCENARIO("bytes after an answer belong to nobody")
+{
+    calling test;
+    called result;
+    const auto call = test.start(result);
+    test.wait_for_request(0);
+    test.answer(0, whole_answer + "HTTP/1.1 200 OK\r\n");
+    run_until(test.loop, [&result] { return result.ended(); });
+    REQUIRE(result.done);
+    CHECK(result.body == "ok");
+    run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
+}
+
+SCENARIO("a failed call says whether the server may have got the request, and sends nothing again")
+{
+    calling test;
+    called result;
+    WHEN("nobody listens")
+    {
+        test.server.listener.reset();
+        const auto call = test.start(result);
+        run_until(test.loop, [&result] { return result.ended(); });
+        REQUIRE(result.failed);
+        CHECK(result.failed->state == send_state::not_sent);
+    }
+    WHEN("the server closes without an answer")
+    {
+        const auto call = test.start(result);
+        test.wait_for_request(0);
+        test.server.peers[0]->stream->close();
+        run_until(test.loop, [&result] { return result.ended(); });
+        REQUIRE(result.failed);
+        CHECK(result.failed->state == send_state::sent);
+        CHECK(test.server.peers.size() == 1);
+    }
+    WHEN("a kept connection closes just as the request is sent")
+    {
+        const auto first = test.start(result);
+        test.wait_for_request(0);
+        test.answer(0, whole_answer);
+        run_until(test.loop, [&result] { return result.ended(); });
+        called second;
+        const auto call = test.start(second);
+        test.server.peers[0]->stream->close();
+        run_until(test.loop, [&second] { return second.ended(); });
+        REQUIRE(second.failed);
+        CHECK(second.failed->state == send_state::sent);
+        CHECK(test.server.peers.size() == 1);
+    }
+    WHEN("the answer is cut short")
+    {
+        const auto call = test.start(result);
+        test.wait_for_request(0);
+        test.answer(0, "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 20\r\n\r\nok");
+        run_until(test.loop, [&result] { return result.body == "ok"; });
+        test.server.peers[0]->stream->close();
+        run_until(test.loop, [&result] { return result.ended(); });
+        CHECK(result.failed);
+    }
+    WHEN("the answer is no HTTP")
+    {
+        const auto call = test.start(result);
+        test.wait_for_request(0);
+        test.answer(0, "\x01\x02 nonsense\r\n\r\n");
+        run_until(test.loop, [&result] { return result.ended(); });
+        CHECK(result.failed);
+    }
+}
+
+SCENARIO("dropping a call closes its connection, so that the server stops its work")
+{
+    calling test;
+    called result;
+    auto call = test.start(result);
+    test.wait_for_request(0);
+    call->cancel();
+    run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
+    CHECK(!result.ended());
+}
+
+SCENARIO("an answer that comes before the body was taken ends the connection")
+{
+    calling test;
+    called result;
+    const std::string body(4U << 20U, 'b');
+    test.request.head.method = "POST";
+    test.request.body = body;
+    const auto call = test.start(result);
+    run_until(test.loop, [&test] { return test.server.peers.size() == 1; });
+    test.server.peers[0]->stream->pause_reading(true);
+    test.answer(0, whole_answer);
+    run_until(test.loop, [&result] { return result.ended(); });
+    REQUIRE(result.done);
+    test.server.peers[0]->stream->pause_reading(false);
+    run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
+}
--- /dev/null
+++ b/unittests/http/loopback.h
@@ -0,0 +1,84 @@
+// A peer that sends and reads raw bytes over loopback, for tests of both sides of the HTTP part.
+#pragma once
+
+#include <agatespar/http/tcp_stream.h>
+#include <agatespar/kernel/glib_event_loop.h>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace agatespar::test {
+
+/// Runs the loop until a condition holds. The long limit only ends a test that would hang.
+inline void run_until(glib_event_loop& loop, const std::function<bool()>& condition)
+{
+    constexpr std::chrono::seconds limit{20};
+    constexpr std::chrono::milliseconds step{1};
+    const steady_time end = loop.time().now() + limit;
+    std::function<void()> look = [&] {
+        if (condition() || loop.time().now() > end) {
+            loop.quit();
+            return;
+        }
+        loop.schedule(step, look);
+    };
+    loop.post(look);
+    loop.run();
+    REQUIRE(condition());
+}
+
+/// One connection whose bytes the test writes and reads itself.
+struct raw_peer {
+    std::shared_ptr<tcp_stream> stream;
+    std::string received;
+    bool connected{false};
+    std::optional<stream_end> ended;
+
+    tcp_callbacks callbacks()
+    {
+        tcp_callbacks made;
+        made.connected = [this] { connected = true; };
+        made.received = [this](std::string_view bytes) { received.append(bytes); };
+        made.ended = [this](stream_end how) { ended = how; };
+        return made;
+    }
+    void connect(event_loop& loop, const std::string& address)
+    {
+        auto opened = tcp_stream::connect(loop, address, callbacks());
+        REQUIRE(opened);
+        stream = *opened;
+    }
+};
+
+/// A server whose connections the test answers itself, byte for byte.
+struct raw_server {
+    std::vector<std::unique_ptr<raw_peer>> peers;
+    std::unique_ptr<tcp_listener> listener;
+
+    explicit raw_server(event_loop& loop)
+    {
+        auto opened = tcp_listener::open(loop, "127.0.0.1:0", [this](std::shared_ptr<tcp_stream> stream) {
+            auto peer = std::make_unique<raw_peer>();
+            stream->set_callbacks(peer->callbacks());
+            peer->stream = std::move(stream);
+            peers.push_back(std::move(peer));
+        });
+        REQUIRE(opened);
+        listener = std::move(*opened);
+    }
+    /// @return the whole text that came on all connections.
+    std::string all_received() const
+    {
+        std::string text;
+        for (const auto& peer : peers) {
+            text += peer->received;
+        }
+        return text;
+    }
+};
+
+} // namespace agatespar::test
--- /dev/null
+++ b/unittests/http/message_reader_test.cpp
@@ -0,0 +1,164 @@
+// Tests of reading and writing HTTP/1.1 messages, with bytes that come in any pieces and from hostile peers.
+#include <agatespar/http/message_reader.h>
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+
+namespace {
+
+struct read_result {
+    std::optional<http_request_head> head;
+    std::string body;
+    outcome<void> result;
+    bool done{false};
+    std::string rest;
+};
+
+} // namespace
+
+static read_result read_in_pieces(const std::string& bytes, std::size_t piece, const message_limits& limits = {})
+{
+    read_result read;
+    request_reader reader{limits,
+                          {[&read](http_request_head head) { read.head = std::move(head); },
+                           [&read](std::string_view body) { read.body.append(body); }}};
+    std::string input;
+    for (std::size_t i = 0; i < bytes.size() && read.result; i += piece) {
+        input.append(bytes, i, piece);
+        read.result = reader.feed(input);
+    }
+    read.done = reader.is_done();
+    read.rest = input;
+    return read;
+}
+
+SCENARIO("a request is read the same in whatever pieces it comes")
+{
+    const std::string request = "POST /a/b%2F/../c?x=%20 HTTP/1.1\r\nHost: one.example\r\nX-Thing:  two \r\n"
+                                "Content-Length: 5\r\n\r\nhelloGET / HTTP/1.1\r\n";
+    const std::size_t piece = GENERATE(1U, 2U, 7U, 1000U);
+    const read_result read = read_in_pieces(request, piece);
+    REQUIRE(read.result);
+    REQUIRE(read.done);
+    CHECK(read.head->method == "POST");
+    // Neither decoded nor normalised: it is forwarded as it came.
+    CHECK(read.head->target == "/a/b%2F/../c?x=%20");
+    CHECK(find_header(read.head->headers, "x-thing") == "two");
+    CHECK(read.body == "hello");
+    // What follows belongs to the next request.
+    CHECK(read.rest == "GET / HTTP/1.1\r\n");
+}
+
+SCENARIO("chunks are joined and trailers dropped")
+{
+    const read_result read = read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                            "3\r\nabc\r\n2\r\nde\r\n0\r\nX-Late: 1\r\n\r\n",
+                                            3);
+    REQUIRE(read.done);
+    CHECK(read.body == "abcde");
+    CHECK(!find_header(read.head->headers, "X-Late"));
+}
+
+SCENARIO("framing that could be read in two ways is refused, so that nothing is smuggled")
+{
+    const std::string framing =
+        GENERATE("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+                 "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+                 "Content-Length: +5\r\n", "Content-Length: 5, 6\r\n", "Content-Length : 5\r\n");
+    CAPTURE(framing);
+    const read_result read = read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\n" + framing + "\r\nhello", 1000);
+    REQUIRE(!read.result);
+    CHECK(read.result.error().code == error_code::malformed);
+}
+
+SCENARIO("what passes a limit is told apart from what is no HTTP")
+{
+    message_limits limits;
+    limits.header_bytes = 200;
+    limits.body_bytes = 4;
+    WHEN("the head is too long")
+    {
+        const auto read =
+            read_in_pieces("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(300, 'x') + "\r\n\r\n", 64, limits);
+        REQUIRE(!read.result);
+        CHECK(read.result.error().code == error_code::too_large);
+        CHECK(read.result.error().message == "header");
+    }
+    WHEN("the body is too long")
+    {
+        const auto read = read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello", 64, limits);
+        REQUIRE(!read.result);
+        CHECK(read.result.error().message == "body");
+    }
+    WHEN("a chunked body grows too long")
+    {
+        const auto read = read_in_pieces(
+            "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n", 64, limits);
+        REQUIRE(!read.result);
+        CHECK(read.result.error().message == "body");
+    }
+    WHEN("it is no HTTP at all")
+    {
+        const auto read = read_in_pieces("\x16\x03\x01\x02 what\r\n\r\n", 64, limits);
+        REQUIRE(!read.result);
+        CHECK(read.result.error().code == error_code::malformed);
+    }
+}
+
+SCENARIO("an answer without length is whole only when its connection ends in order")
+{
+    std::string body;
+    std::optional<http_answer_head> head;
+    answer_reader reader{{},
+                         {[&head](http_answer_head read) { head = std::move(read); },
+                          [&body](std::string_view bytes) { body.append(bytes); }}};
+    std::string input = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\npart";
+    REQUIRE(reader.feed(input));
+    REQUIRE(head);
+    CHECK(head->ends_with_connection);
+    CHECK(!reader.is_done());
+    REQUIRE(reader.feed_end());
+    CHECK(body == "part");
+
+    WHEN("one with a length ends early")
+    {
+        answer_reader cut{{}, {[](const http_answer_head&) {}, [](std::string_view) {}}};
+        std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart";
+        REQUIRE(cut.feed(bytes));
+        CHECK(!cut.feed_end());
+    }
+}
+
+SCENARIO("fields that concern one connection are not forwarded")
+{
+    const http_headers headers{{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X-Public", "2"}};
+    CHECK(is_hop_by_hop(headers, "connection"));
+    CHECK(is_hop_by_hop(headers, "Transfer-Encoding"));
+    CHECK(is_hop_by_hop(headers, "Content-Length"));
+    CHECK(is_hop_by_hop(headers, "x-private"));
+    CHECK(!is_hop_by_hop(headers, "X-Public"));
+}
+
+SCENARIO("written heads frame their bodies")
+{
+    http_request_head request{"GET", "/x", {{"Host", "a"}}, true};
+    CHECK(write_request_head(request, 0) == "GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    request.method = "POST";
+    CHECK(write_request_head(request, 0) == "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    http_answer_head answer;
+    answer.status = 200;
+    answer.reason = "OK";
+    CHECK(write_answer_head(answer, body_framing::chunks, 0, false) ==
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+    CHECK(write_chunk("abc") == "3\r\nabc\r\n");
+}
+
+SCENARIO("numbers are read whole or not at all")
+{
+    CHECK(parse_number("42") == 42U);
+    CHECK(!parse_number("42x"));
+    CHECK(!parse_number("-1"));
+    CHECK(!parse_number(""));
+    CHECK(!parse_number("99999999999999999999999"));
+}
--- /dev/null
+++ b/unittests/http/server_test.cpp
@@ -0,0 +1,154 @@
+// Tests of the server side: kept connections, limits, clients that leave, and answers that are whole or visibly cut.
+#include "loopback.h"
+
+#include <agatespar/http/server.h>
+
+using namespace agatespar;
+using namespace agatespar::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct served {
+    glib_event_loop loop;
+    std::vector<std::shared_ptr<server_exchange>> exchanges;
+    std::unique_ptr<http_listener> listener;
+    raw_peer client;
+
+    explicit served(const server_limits& limits = {})
+    {
+        auto opened = http_listener::open(loop, "127.0.0.1:0", limits,
+                                          [this](const auto& exchange) { exchanges.push_back(exchange); });
+        REQUIRE(opened);
+        listener = std::move(*opened);
+        client.connect(loop, listener->address());
+    }
+    void wait_for_requests(std::size_t count)
+    {
+        run_until(loop, [this, count] { return exchanges.size() == count; });
+    }
+    void wait_for_text(const std::string& text)
+    {
+        run_until(loop, [this, &text] { return client.received.find(text) != std::string::npos; });
+    }
+    void wait_for_end()
+    {
+        run_until(loop, [this] { return client.ended.has_value(); });
+    }
+};
+
+} // namespace
+
+SCENARIO("a kept connection carries one request after the other")
+{
+    served test;
+    test.client.stream->write("GET /one HTTP/1.1\r\nHost: a\r\n\r\nGET /two HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    CHECK(test.exchanges[0]->head().target == "/one");
+    test.exchanges[0]->answer(own_answer(200), "first");
+    test.wait_for_requests(2);
+    CHECK(test.exchanges[1]->head().target == "/two");
+    test.exchanges[1]->answer(own_answer(200), "second");
+    test.wait_for_text("second");
+    CHECK(test.client.received.find("first") < test.client.received.find("second"));
+
+    WHEN("the listener stops")
+    {
+        test.listener->stop();
+        test.wait_for_end();
+        CHECK(test.client.ended == stream_end::closed);
+    }
+}
+
+SCENARIO("a stream is framed in chunks, and one that breaks off can't be taken for a whole one")
+{
+    served test;
+    test.client.stream->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    test.exchanges[0]->begin(own_answer(200));
+    test.exchanges[0]->send_piece("event");
+    test.wait_for_text("5\r\nevent\r\n");
+    WHEN("it ends in order")
+    {
+        test.exchanges[0]->finish();
+        test.wait_for_text("0\r\n\r\n");
+    }
+    WHEN("it breaks off")
+    {
+        test.exchanges[0]->abort();
+        test.wait_for_end();
+        CHECK(test.client.received.find("0\r\n\r\n") == std::string::npos);
+    }
+    WHEN("nobody ever ends it")
+    {
+        test.exchanges.clear();
+        test.wait_for_end();
+        CHECK(test.client.received.find("0\r\n\r\n") == std::string::npos);
+    }
+}
+
+SCENARIO("a client that leaves is noticed while its request is under way")
+{
+    served test;
+    test.client.stream->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    bool gone = false;
+    test.exchanges[0]->on_gone([&gone] { gone = true; });
+    test.client.stream->close();
+    run_until(test.loop, [&gone] { return gone; });
+    CHECK(!test.exchanges[0]->is_open());
+    // An answer that comes too late goes nowhere.
+    test.exchanges[0]->answer(own_answer(200), "late");
+}
+
+SCENARIO("a client that passes a limit is told which, and the connection ends")
+{
+    server_limits limits;
+    limits.message = {256, 8};
+    limits.request_time = 30ms;
+    limits.idle_time = 30ms;
+    served test{limits};
+    WHEN("the head is too long")
+    {
+        test.client.stream->write("GET / HTTP/1.1\r\nX: " + std::string(400, 'x') + "\r\n\r\n");
+        test.wait_for_text("HTTP/1.1 431 ");
+    }
+    WHEN("the body is too long")
+    {
+        test.client.stream->write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n");
+        test.wait_for_text("HTTP/1.1 413 ");
+    }
+    WHEN("the request is not whole in time")
+    {
+        test.client.stream->write("GET / HTTP/1.1\r\nHost:");
+        test.wait_for_text("HTTP/1.1 408 ");
+    }
+    WHEN("it names no host")
+    {
+        test.client.stream->write("GET / HTTP/1.1\r\n\r\n");
+        test.wait_for_text("HTTP/1.1 400 ");
+    }
+    WHEN("it sends nothing at all")
+    {
+        test.wait_for_end();
+        CHECK(test.client.received.empty());
+    }
+    test.wait_for_end();
+    CHECK(test.exchanges.empty());
+}
+
+SCENARIO("answers of a stopping listener say that the connection ends, and are counted until they are taken")
+{
+    served test;
+    test.client.stream->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    test.listener->close_after_answers();
+    test.client.stream->pause_reading(true);
+    test.exchanges[0]->answer(own_answer(200), "last");
+    CHECK(test.listener->open_exchanges() == 0);
+    CHECK(test.listener->lingering() == 1);
+    test.client.stream->pause_reading(false);
+    test.wait_for_text("Connection: close");
+    test.wait_for_end();
+    run_until(test.loop, [&test] { return test.listener->lingering() == 0; });
+}
