--- /dev/null
+++ b/include/agatespar/gateway/gateway.h
@@ -0,0 +1,103 @@
+// The entry for transparent requests on one VM: follows the store, listens to clients, and forwards to servers.
+#pragma once
+
+#include <agatespar/gateway/fleet_state.h>
+#include <agatespar/gateway/protocol.h>
+#include <agatespar/gateway/server_choice.h>
+#include <agatespar/gateway/topic_follower.h>
+#include <agatespar/http/client.h>
+#include <agatespar/http/server.h>
+#include <agatespar/kernel/event_loop.h>
+#include <agatespar/routing/retry_budget.h>
+#include <agatespar/telemetry/metrics.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+namespace agatespar {
+
+/// How one VM's gateway runs.
+struct gateway_settings {
+    std::string vm_name;
+    zone_name zone;
+    /// "ip:port" for clients, and for the platform's question whether this VM is ready.
+    std::string front_address;
+    std::string readiness_address;
+    std::string readiness_path;
+    /// From the order to stop to the end of the process, at most.
+    std::chrono::milliseconds stop_time{8000};
+    /// Between reads of the servers' topic, whose records come one by one.
+    std::chrono::milliseconds server_pause{500};
+    /// Between reads of what VMs saw of a roll-out, so that their records share a call.
+    std::chrono::milliseconds evidence_pause{250};
+    /// Further attempts per request, over time, that all VMs may make together, and those on top of it.
+    double retry_share{0.9};
+    double retry_slack{58};
+    /// VMs among which what all may do together is divided. Above the number that a deployment grows to, as VMs that
+    /// can't hear each other must stay below the bound too.
+    double assumed_vms{16};
+    choice_settings choice;
+    rollout_settings rollouts;
+};
+
+class transparent_run;
+
+class gateway {
+public:
+    /// Listens and starts to follow the store. @return why an address can't be used.
+    static outcome<std::unique_ptr<gateway>> open(event_loop& loop, const gateway_settings& settings,
+                                                  const gateway_protocol& protocol, const fleet_store& store,
+                                                  connection_pool& pool, std::function<void()> on_stopped);
+    gateway(event_loop& loop, const gateway_settings& settings, const gateway_protocol& protocol,
+            const fleet_store& store, connection_pool& pool, std::function<void()> on_stopped);
+    gateway(const gateway&) = delete;
+    gateway& operator=(const gateway&) = delete;
+    ~gateway();
+
+    /// @return whether this VM knows the configuration and the servers, and is not stopping.
+    bool is_ready() const;
+    /// Ends what is under way, then calls back. New requests are taken until the platform has noticed.
+    void stop();
+    std::string front_address() const { return front_->address(); }
+    std::string readiness_address() const { return readiness_->address(); }
+    const metrics_registry& metrics() const { return metrics_; }
+
+private:
+    friend class transparent_run;
+
+    void start_followers();
+    void answer_readiness(const std::shared_ptr<server_exchange>& exchange) const;
+    void take_request(const std::shared_ptr<server_exchange>& exchange);
+    void note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason);
+    void apply_limits();
+    void tick();
+    void write_reports();
+    void write_evidence_rows();
+    void end_when_idle(steady_time until);
+    retry_budget& budget_of(const service_name& service);
+
+    event_loop& loop_;
+    gateway_settings settings_;
+    gateway_protocol protocol_;
+    fleet_store store_;
+    connection_pool& pool_;
+    std::function<void()> on_stopped_;
+    std::mt19937_64 random_;
+    metrics_registry metrics_;
+    fleet_state fleet_;
+    std::unique_ptr<topic_follower> orders_;
+    std::unique_ptr<topic_follower> servers_;
+    std::unique_ptr<topic_follower> reports_;
+    std::unique_ptr<topic_follower> evidence_;
+    std::map<service_name, retry_budget> budgets_;
+    bool writing_report_{false};
+    bool stopping_{false};
+    std::optional<timer_id> tick_timer_;
+    std::unique_ptr<http_listener> front_;
+    std::unique_ptr<http_listener> readiness_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -0,0 +1,91 @@
+// One roll-out of a service to another version: how much of the traffic the version gets, and when it is over.
+#pragma once
+
+#include <agatespar/gateway/fleet_records.h>
+#include <agatespar/gateway/recent_sessions.h>
+#include <agatespar/routing/answer_counts.h>
+#include <agatespar/routing/version_guard.h>
+#include <agatespar/support/clock.h>
+
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace agatespar {
+
+struct rollout_settings {
+    /// Share of the requests that the new version gets until it is complete. With what it gets between completion and
+    /// the deadline, a version that turns bad late stays within the operators' share of exposed requests (0.15).
+    double exposed_share{0.06};
+    /// The version is taken as good this share of its time before its deadline; the requests of that time count as
+    /// exposed too.
+    double finish_share{0.07};
+    /// No later than this before the deadline, so that writing the report has time when the store is slow.
+    std::chrono::milliseconds least_finish{1200};
+    /// VMs report one after the other within this time, so that mostly one does.
+    std::chrono::milliseconds report_spread{600};
+    /// After an order VMs tell each other which sessions are under way, which takes two calls of the store.
+    std::chrono::milliseconds exposure_delay{500};
+    /// Between two rows of evidence from one VM, while bad answers come in, and while only good ones do.
+    std::chrono::milliseconds evidence_pause{300};
+    std::chrono::milliseconds calm_evidence_pause{2000};
+    /// A version that takes this many times as long as the old one is bad. Bad ones are several times slower.
+    double slow_factor{4};
+    /// Answers faster than this are never slow, as small times vary by large factors.
+    std::chrono::milliseconds slow_floor{150};
+    /// Requests of a session that follow each other within this belong together.
+    std::chrono::milliseconds session_time{5000};
+};
+
+/// Which versions a request may go to.
+enum class version_choice {
+    any,
+    target_only,
+    others_only,
+    prefer_target,
+};
+
+/// Kept for each service with an order. Nothing here needs a leader: each VM follows the order by its own clock, VMs
+/// share what they saw through the store, any VM may report the end, and the first report in the store's order holds.
+class rollout_watch {
+public:
+    /// @param own tells VMs and their starts apart. @param under_way sessions that stay on the old version.
+    rollout_watch(const rollout_order& order, const rollout_settings& settings, std::uint64_t own,
+                  const std::vector<session_hash>& under_way, steady_time now);
+
+    const rollout_order& order() const { return order_; }
+    rollout_state state() const { return state_; }
+    /// The store holds a report about this order. A final state stays.
+    void take_report(const rollout_report& report);
+
+    /// @param draw uniform in [0, 1), for requests without a session.
+    version_choice choose(double draw, std::optional<session_hash> session, steady_time now);
+    /// Notes an answer. @param group answers of one group take similar times, e.g. a route and model.
+    void note_answer(bool by_target, const std::string& group, bool good, duration first_byte);
+    /// Takes in what another VM saw.
+    void take_evidence(const rollout_evidence& evidence);
+    /// @return what this VM saw, if the others should be told now.
+    std::optional<rollout_evidence> next_evidence(steady_time now);
+    /// @return the report that this VM should write now, if any.
+    std::optional<rollout_report> next_report(steady_time now);
+    /// @return the guard's reasons, for logs.
+    const guard_verdict& verdict() const { return guard_.verdict(); }
+
+private:
+    rollout_order order_;
+    rollout_settings settings_;
+    std::uint64_t own_;
+    std::chrono::milliseconds own_delay_;
+    steady_time started_;
+    rollout_state state_{rollout_state::in_progress};
+    answer_counts counts_;
+    version_guard guard_;
+    std::unordered_map<std::string, double> usual_seconds_;
+    std::unordered_set<session_hash> staying_;
+    std::vector<session_hash> own_staying_;
+    std::optional<steady_time> told_at_;
+    answer_tally told_;
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/include/agatespar/gateway/server_directory.h
@@ -0,0 +1,81 @@
+// The backend servers that this VM knows, what it believes of them, and what it has under way at each.
+#pragma once
+
+#include <agatespar/gateway/fleet_records.h>
+#include <agatespar/gateway/protocol.h>
+#include <agatespar/support/clock.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace agatespar {
+
+/// A server and this VM's view of it. Held by those who use it, also after it has left.
+struct fleet_server {
+    server_record record;
+    bool gone{false};
+    steady_time cold_until;
+    /// Requests of this VM that are under way there.
+    std::uint32_t in_flight{0};
+    /// The server's last report of its load, what this VM had under way there then, and when that was.
+    reported_load reported;
+    std::uint32_t in_flight_at_report{0};
+    steady_time reported_at;
+    /// Failures in a row that speak against the server itself.
+    std::uint32_t failures{0};
+    /// Not chosen before this while others can be.
+    steady_time avoid_until;
+    /// Requests that this VM may still send to it while it is cold, refilled over time.
+    double cold_tokens{0};
+    steady_time cold_refilled;
+};
+
+/// @return running and waiting requests at a server, from its last report and what this VM did since.
+std::uint32_t estimated_load(const fleet_server& server);
+
+/// How this VM's knowledge of servers is kept.
+struct directory_settings {
+    /// After the store's return, a server whose entry lapsed meanwhile is kept for this: the platform puts living
+    /// servers back within about two seconds.
+    std::chrono::milliseconds lapse_grace{2500};
+    /// Entries lapse after three missed heartbeats of about a second; a shorter outage explains no lapse.
+    std::chrono::milliseconds least_outage{1000};
+};
+
+class server_directory {
+public:
+    explicit server_directory(const directory_settings& settings = {}) : settings_(settings) {}
+
+    /// Takes in what a server says of itself. A new start under an old name, or another address, is a new server.
+    void set(const server_record& record, steady_time now);
+    /// The server's entry is gone. Right after an outage of the store it may only have lapsed.
+    void remove(const server_name& name, steady_time now);
+    /// The store of the entries stopped to answer this VM, or answers it again.
+    void note_store_lost(steady_time now) { store_lost_at_ = now; }
+    void note_store_back(steady_time now);
+    /// Removes servers whose grace is over. @return their names.
+    std::vector<server_name> expire(steady_time now);
+
+    const std::map<server_name, std::shared_ptr<fleet_server>>& all() const { return servers_; }
+
+private:
+    directory_settings settings_;
+    std::map<server_name, std::shared_ptr<fleet_server>> servers_;
+    std::map<server_name, steady_time> lapsing_;
+    std::optional<steady_time> store_lost_at_;
+    std::optional<steady_time> store_back_at_;
+};
+
+/// Notes how an attempt at a server went.
+void note_answer(fleet_server& server, const answer_facts& facts, steady_time now);
+/// The server did not answer as a sound one does. It is avoided for a while that doubles with each failure in a row.
+void note_failure(fleet_server& server, steady_time now);
+
+/// Takes one request from what this VM may send to a cold server. @param rate requests a second, this VM's share.
+/// @return whether it may be sent.
+bool take_cold_token(fleet_server& server, double rate, steady_time now);
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/gateway/gateway.cpp
@@ -0,0 +1,241 @@
+// Wires the store, the listeners and the runs of requests together.
+#include "transparent_run.h"
+
+#include <agatespar/gateway/evidence_record.h>
+#include <agatespar/gateway/gateway.h>
+#include <agatespar/support/hash.h>
+#include <agatespar/telemetry/log.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+// Beliefs that change with time alone, such as lapsing entries and the end of a roll-out, are looked at this often.
+static constexpr std::chrono::milliseconds tick_interval{200};
+// The platform asks each second whether a VM is ready, and takes it out after two misses.
+static constexpr std::chrono::milliseconds notice_time{2500};
+// Before the platform ends the process by force.
+static constexpr std::chrono::milliseconds stop_margin{400};
+// How often a stopping VM looks whether all is done.
+static constexpr std::chrono::milliseconds idle_check{50};
+// The platform's question is short; whoever sends more is not the platform.
+static constexpr std::uint32_t readiness_header_bytes = 4096;
+
+/// A VM's next start must not be taken for this one.
+static std::uint64_t own_boot_id(const std::string& vm_name, const event_loop& loop)
+{
+    const auto started = loop.time().wall_now().time_since_epoch().count();
+    return combine_hashes(stable_hash(vm_name), static_cast<std::uint64_t>(started));
+}
+
+outcome<std::unique_ptr<gateway>> gateway::open(event_loop& loop, const gateway_settings& settings,
+                                                const gateway_protocol& protocol, const fleet_store& store,
+                                                connection_pool& pool, std::function<void()> on_stopped)
+{
+    auto opened = std::make_unique<gateway>(loop, settings, protocol, store, pool, std::move(on_stopped));
+    auto* self = opened.get();
+    auto front = http_listener::open(loop, settings.front_address, server_limits{},
+                                     [self](const auto& exchange) { self->take_request(exchange); });
+    if (!front) {
+        return tl::make_unexpected(front.error());
+    }
+    opened->front_ = std::move(*front);
+    server_limits limits;
+    limits.message = {readiness_header_bytes, 0};
+    auto readiness = http_listener::open(loop, settings.readiness_address, limits,
+                                         [self](const auto& exchange) { self->answer_readiness(exchange); });
+    if (!readiness) {
+        return tl::make_unexpected(readiness.error());
+    }
+    opened->readiness_ = std::move(*readiness);
+    opened->start_followers();
+    opened->tick();
+    return opened;
+}
+
+gateway::gateway(event_loop& loop, const gateway_settings& settings, const gateway_protocol& protocol,
+                 const fleet_store& store, connection_pool& pool, std::function<void()> on_stopped)
+    : loop_(loop), settings_(settings), protocol_(protocol), store_(store), pool_(pool),
+      on_stopped_(std::move(on_stopped)), random_(stable_hash(settings.vm_name)),
+      fleet_(store_, settings.rollouts, own_boot_id(settings.vm_name, loop))
+{
+}
+
+gateway::~gateway()
+{
+    if (tick_timer_) {
+        loop_.cancel(*tick_timer_);
+    }
+}
+
+void gateway::start_followers()
+{
+    const auto make = [this](follower_settings follower, const char* name,
+                             std::function<void(const keyed_record&)> changed) {
+        follower_callbacks callbacks;
+        callbacks.changed = std::move(changed);
+        callbacks.complete = [name] { log_event(log_severity::info, "topic_known", {{"topic", name}}); };
+        callbacks.reachable = [this, topic = follower.topic, name](bool reachable, const std::string& reason) {
+            note_reachable(topic, name, reachable, reason);
+        };
+        auto made = std::make_unique<topic_follower>(loop_, store_, follower, std::move(callbacks));
+        made->start();
+        return made;
+    };
+    follower_settings orders;
+    orders.topic = fleet_topic::operator_orders;
+    orders_ = make(orders, "orders", [this](const keyed_record& record) {
+        fleet_.take_operator_record(record, loop_.time().now());
+        apply_limits();
+    });
+    follower_settings servers;
+    servers.topic = fleet_topic::servers;
+    servers.pause = settings_.server_pause;
+    servers_ = make(servers, "servers",
+                    [this](const keyed_record& record) { fleet_.take_server_record(record, loop_.time().now()); });
+    follower_settings reports;
+    reports.topic = fleet_topic::reports;
+    reports_ = make(reports, "reports", [this](const keyed_record& record) { fleet_.take_report_record(record); });
+    follower_settings evidence;
+    evidence.topic = fleet_topic::evidence;
+    evidence.pause = settings_.evidence_pause;
+    evidence_ = make(evidence, "evidence", [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
+}
+
+void gateway::note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason)
+{
+    log_event(reachable ? log_severity::info : log_severity::warning, reachable ? "store_regained" : "store_lost",
+              {{"topic", name}, {"reason", reason}});
+    if (topic != fleet_topic::servers) {
+        return;
+    }
+    if (reachable) {
+        fleet_.note_store_back(loop_.time().now());
+    }
+    else {
+        fleet_.note_store_lost(loop_.time().now());
+    }
+}
+
+void gateway::apply_limits()
+{
+    if (fleet_.map()) {
+        front_->set_limits(fleet_.map()->limits);
+    }
+}
+
+bool gateway::is_ready() const
+{
+    return !stopping_ && fleet_.map() && orders_->is_complete() && servers_->is_complete() && reports_->is_complete();
+}
+
+void gateway::answer_readiness(const std::shared_ptr<server_exchange>& exchange) const
+{
+    const bool asked = exchange->head().target == settings_.readiness_path;
+    exchange->answer(own_answer(!asked ? 404 : is_ready() ? 200 : 503), {});
+}
+
+void gateway::take_request(const std::shared_ptr<server_exchange>& exchange)
+{
+    std::make_shared<transparent_run>(*this, exchange)->start();
+}
+
+void gateway::tick()
+{
+    fleet_.tick(loop_.time().now());
+    write_evidence_rows();
+    write_reports();
+    tick_timer_ = loop_.schedule(tick_interval, [this] { tick(); });
+}
+
+void gateway::write_evidence_rows()
+{
+    for (auto& [service, watch] : fleet_.rollouts()) {
+        if (const auto evidence = watch.next_evidence(loop_.time().now())) {
+            // A row that is lost is replaced by the next one.
+            store_.append(fleet_topic::evidence, write_evidence(*evidence, settings_.vm_name), std::nullopt,
+                          [](append_result result) {
+                              if (result != append_result::done) {
+                                  log_event(log_severity::warning, "evidence_not_written",
+                                            {{"result", static_cast<int>(result)}});
+                              }
+                          });
+        }
+    }
+}
+
+void gateway::write_reports()
+{
+    if (writing_report_ || !reports_->is_complete()) {
+        return;
+    }
+    for (auto& [service, watch] : fleet_.rollouts()) {
+        const auto report = watch.next_report(loop_.time().now());
+        if (!report) {
+            continue;
+        }
+        log_event(log_severity::info, "rollout_report_sent",
+                  {{"service", service.value()},
+                   {"target", report->target.value()},
+                   {"state", static_cast<int>(report->state)},
+                   {"target_bad", watch.verdict().candidate.bad},
+                   {"target_answers", watch.verdict().candidate.total()},
+                   {"others_bad", watch.verdict().incumbent.bad},
+                   {"others_answers", watch.verdict().incumbent.total()}});
+        writing_report_ = true;
+        store_.append(
+            fleet_topic::reports, store_.write_report(*report), reports_->end(), [this](append_result result) {
+                // The report comes back through the follower, also if the answer was lost; until then it may be sent
+                // anew.
+                writing_report_ = false;
+                log_event(log_severity::info, "rollout_report_written", {{"result", static_cast<int>(result)}});
+            });
+        return;
+    }
+}
+
+retry_budget& gateway::budget_of(const service_name& service)
+{
+    const auto found = budgets_.find(service);
+    if (found != budgets_.end()) {
+        return found->second;
+    }
+    retry_settings retries;
+    // Each VM keeps to a part of the share, as requests are spread unevenly over the window in which it is judged.
+    constexpr double kept_part = 0.8;
+    retries.share = settings_.retry_share * kept_part;
+    retries.burst = std::max(1.0, settings_.retry_slack / settings_.assumed_vms);
+    retries.first_delay = std::chrono::milliseconds{5};
+    retries.longest_delay = std::chrono::milliseconds{100};
+    return budgets_.emplace(service, retry_budget{retries}).first->second;
+}
+
+void gateway::stop()
+{
+    if (stopping_) {
+        return;
+    }
+    stopping_ = true;
+    log_event(log_severity::info, "stopping",
+              {{"open_requests", static_cast<std::uint64_t>(front_->open_exchanges())}});
+    front_->close_after_answers();
+    const steady_time until = loop_.time().now() + settings_.stop_time - stop_margin;
+    loop_.schedule(std::min(notice_time, settings_.stop_time / 2), [this, until] {
+        front_->stop();
+        end_when_idle(until);
+    });
+}
+
+void gateway::end_when_idle(steady_time until)
+{
+    // Answers that clients have not taken yet count as open too.
+    const std::size_t open = front_->open_exchanges() + front_->lingering();
+    if (open == 0 || loop_.time().now() >= until) {
+        log_event(log_severity::info, "stopped", {{"cut_requests", static_cast<std::uint64_t>(open)}});
+        on_stopped_();
+        return;
+    }
+    loop_.schedule(idle_check, [this, until] { end_when_idle(until); });
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/gateway/rollout_watch.cpp
@@ -0,0 +1,133 @@
+// Keeps a new version at a small share until its deadline is near, and stops it when it answers worse.
+#include <agatespar/gateway/rollout_watch.h>
+#include <agatespar/support/hash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace agatespar {
+
+static constexpr version_index others_index{0};
+static constexpr version_index target_index{1};
+static constexpr std::size_t versions = 2;
+// All answers are weighed as one class: a service's routes have like shares of errors while it is sound.
+static constexpr class_index only_class{0};
+// Weight of the newest answer in the usual time of a group: some twenty answers are remembered.
+static constexpr double newest_weight = 0.05;
+
+rollout_watch::rollout_watch(const rollout_order& order, const rollout_settings& settings, std::uint64_t own,
+                             const std::vector<session_hash>& under_way, steady_time now)
+    : order_(order), settings_(settings), own_(own), started_(now), counts_(boot_id{own}, versions, 1),
+      guard_(guard_settings{}, target_index, others_index), staying_(under_way.begin(), under_way.end()),
+      own_staying_(under_way)
+{
+    const std::uint64_t place = combine_hashes(own, stable_hash(order.service.value()));
+    own_delay_ = std::chrono::milliseconds{place % static_cast<std::uint64_t>(settings_.report_spread.count())};
+}
+
+void rollout_watch::take_report(const rollout_report& report)
+{
+    if (report.target == order_.target && state_ == rollout_state::in_progress) {
+        state_ = report.state;
+    }
+}
+
+version_choice rollout_watch::choose(double draw, std::optional<session_hash> session, steady_time now)
+{
+    if (state_ == rollout_state::complete) {
+        return version_choice::target_only;
+    }
+    const double place = session ? place_of_session(*session) : draw;
+    if (state_ == rollout_state::reverted || place >= settings_.exposed_share) {
+        return version_choice::others_only;
+    }
+    if (now - started_ < settings_.exposure_delay) {
+        if (session) {
+            staying_.insert(*session);
+        }
+        return version_choice::others_only;
+    }
+    return session && staying_.contains(*session) ? version_choice::others_only : version_choice::prefer_target;
+}
+
+void rollout_watch::note_answer(bool by_target, const std::string& group, bool good, duration first_byte)
+{
+    if (state_ != rollout_state::in_progress) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(first_byte).count();
+    auto usual = usual_seconds_.find(group);
+    if (by_target) {
+        const bool slow = usual != usual_seconds_.end() && first_byte > settings_.slow_floor &&
+                          seconds > settings_.slow_factor * usual->second;
+        counts_.record(target_index, only_class, good && !slow);
+    }
+    else {
+        counts_.record(others_index, only_class, good);
+        if (good) {
+            usual = usual_seconds_.emplace(group, seconds).first;
+            usual->second += newest_weight * (seconds - usual->second);
+        }
+    }
+    guard_.update(counts_);
+}
+
+void rollout_watch::take_evidence(const rollout_evidence& evidence)
+{
+    if (evidence.vm == own_ || evidence.target != order_.target) {
+        return;
+    }
+    const std::array<answer_tally, versions> row{answer_tally{evidence.others_good, evidence.others_bad},
+                                                 answer_tally{evidence.target_good, evidence.target_bad}};
+    counts_.merge(boot_id{evidence.vm}, row);
+    staying_.insert(evidence.staying.begin(), evidence.staying.end());
+    guard_.update(counts_);
+}
+
+std::optional<rollout_evidence> rollout_watch::next_evidence(steady_time now)
+{
+    if (state_ != rollout_state::in_progress) {
+        return std::nullopt;
+    }
+    const auto row = counts_.own_row();
+    const answer_tally& target = row[target_index.value()];
+    const bool any_bad = counts_.total(target_index, only_class).bad > 0;
+    const bool new_bad = target.bad > told_.bad && (!told_at_ || now - *told_at_ >= settings_.evidence_pause);
+    const bool new_good =
+        any_bad && target.total() > told_.total() && told_at_ && now - *told_at_ >= settings_.calm_evidence_pause;
+    const bool first = !told_at_ && !own_staying_.empty();
+    if (!new_bad && !new_good && !first) {
+        return std::nullopt;
+    }
+    told_ = target;
+    told_at_ = now;
+    rollout_evidence evidence;
+    evidence.vm = own_;
+    evidence.service = order_.service;
+    evidence.target = order_.target;
+    evidence.others_good = row[others_index.value()].good;
+    evidence.others_bad = row[others_index.value()].bad;
+    evidence.target_good = target.good;
+    evidence.target_bad = target.bad;
+    evidence.staying = own_staying_;
+    return evidence;
+}
+
+std::optional<rollout_report> rollout_watch::next_report(steady_time now)
+{
+    if (state_ != rollout_state::in_progress) {
+        return std::nullopt;
+    }
+    if (guard_.verdict().stop) {
+        return rollout_report{order_.service, order_.target, rollout_state::reverted};
+    }
+    const auto share_of_time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(order_.time * settings_.finish_share);
+    const auto finish_time = std::max(settings_.least_finish, share_of_time) + settings_.report_spread;
+    if (now - started_ >= order_.time - finish_time + own_delay_) {
+        return rollout_report{order_.service, order_.target, rollout_state::complete};
+    }
+    return std::nullopt;
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/gateway/transparent_run.cpp
@@ -0,0 +1,493 @@
+// Runs one transparent request.
+#include "transparent_run.h"
+
+#include <agatespar/support/hash.h>
+#include <agatespar/telemetry/log.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace agatespar {
+
+// Sends of one request, servers that refused it or could not be reached included. Runs are bounded by the route.
+static constexpr int most_sends = 5;
+// Bytes that a slow client may leave unsent before its server is no longer read.
+static constexpr std::size_t most_unsent = 64 * 1024;
+// A server in another zone answers a connection in milliseconds; one that is lost or cut off never does.
+static constexpr std::chrono::milliseconds connect_time{400};
+// A try that would have less than this left is not worth making: no server answers faster.
+static constexpr std::chrono::milliseconds least_try{10};
+// Clients that are refused return spread over this time, so that they don't all meet the same full servers again.
+static constexpr std::chrono::milliseconds earliest_return{300};
+static constexpr std::chrono::milliseconds latest_return{900};
+// A smaller model's answer is kept from this opinion of its own on.
+static constexpr int kept_confidence = 60;
+// Waits of route without a limit of its own.
+static constexpr std::chrono::milliseconds default_timeout{30'000};
+
+static constexpr int first_success = 200;
+static constexpr int first_redirect = 300;
+static constexpr int first_server_failure = 500;
+
+transparent_run::transparent_run(gateway& owner, std::shared_ptr<server_exchange> exchange)
+    : owner_(owner), exchange_(std::move(exchange))
+{
+}
+
+transparent_run::~transparent_run() = default;
+
+void transparent_run::start()
+{
+    if (!accept()) {
+        return;
+    }
+    const auto self = shared_from_this();
+    exchange_->on_gone([self] { self->on_client_gone(); });
+    exchange_->on_drained([self] {
+        if (self->call_) {
+            self->call_->pause(false);
+        }
+    });
+    auto time = route_->timeout.count() > 0 ? route_->timeout : default_timeout;
+    time = std::min(time, facts_.patience.value_or(time));
+    deadline_ = exchange_->began() + time;
+    deadline_timer_ = owner_.loop_.schedule(time_left(), [self] {
+        self->deadline_timer_.reset();
+        self->on_time_over();
+    });
+    owner_.budget_of(service_).on_fresh_request();
+    send_attempt();
+}
+
+/// Checks what the configuration says of the request. @return whether it goes on.
+bool transparent_run::accept()
+{
+    auto facts = owner_.protocol_.read_request(exchange_->head());
+    if (!facts) {
+        refuse(400, facts.error().message.c_str());
+        return false;
+    }
+    facts_ = std::move(*facts);
+    map_ = owner_.fleet_.map();
+    if (!map_) {
+        refuse(503, "no configuration is known yet");
+        return false;
+    }
+    route_ = find_route(*map_, facts_.host, exchange_->head().target);
+    if (route_ == nullptr) {
+        refuse(404, "no route");
+        return false;
+    }
+    const auto holder = facts_.key ? map_->keys.find(*facts_.key) : map_->keys.end();
+    if (holder != map_->keys.end()) {
+        account_ = holder->second.account;
+    }
+    else if (map_->has_accounts && !route_->is_public) {
+        refuse(401, "no client account holds the key");
+        return false;
+    }
+    const double draw = std::uniform_real_distribution<double>{}(owner_.random_);
+    const service_name* service = draw_service(*route_, draw);
+    if (service == nullptr) {
+        refuse(503, "the route has no service");
+        return false;
+    }
+    service_ = *service;
+    if (facts_.model_is_open && !route_->ladder.empty()) {
+        model_ = route_->ladder.front();
+    }
+    choose_version();
+    return true;
+}
+
+void transparent_run::choose_version()
+{
+    const steady_time now = owner_.loop_.time().now();
+    std::optional<session_hash> session;
+    if (facts_.session) {
+        session = hash_of_session(*facts_.session);
+        owner_.fleet_.note_session(*session, now);
+    }
+    if (rollout_watch* watch = owner_.fleet_.rollout_of(service_)) {
+        version_ = watch->choose(std::uniform_real_distribution<double>{}(owner_.random_), session, now);
+    }
+}
+
+std::chrono::milliseconds transparent_run::time_left() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(deadline_ - owner_.loop_.time().now());
+}
+
+std::shared_ptr<fleet_server> transparent_run::pick_server()
+{
+    const steady_time now = owner_.loop_.time().now();
+    server_need need;
+    need.service = &service_;
+    need.model = model_ ? model_ : facts_.model;
+    need.version = version_;
+    need.tried = tried_;
+    const rollout_watch* watch = owner_.fleet_.rollout_of(service_);
+    need.target = watch != nullptr ? &watch->order().target : nullptr;
+    auto servers = eligible_servers(owner_.fleet_, need, now);
+    if (servers.empty() && need.version == version_choice::prefer_target) {
+        need.version = version_choice::others_only;
+        servers = eligible_servers(owner_.fleet_, need, now);
+    }
+    // The last part belongs to the request alone; the one before is the longest that it shares.
+    const bool follow_prompt = route_->has_prompts && facts_.prompt.size() > 1;
+    const std::uint64_t prompt_key =
+        follow_prompt ? stable_hash(facts_.prompt[facts_.prompt.size() - 2].id.value()) : 0;
+    std::vector<server_option> options;
+    options.reserve(servers.size());
+    for (const auto& server : servers) {
+        options.push_back({estimated_load(*server), std::max(1U, server->record.slots), server->avoid_until > now,
+                           combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
+    }
+    const auto chosen = choose_server(options, follow_prompt, owner_.settings_.choice, owner_.random_);
+    if (!chosen) {
+        return nullptr;
+    }
+    auto server = servers[*chosen];
+    const auto service = map_->services.find(service_);
+    const double cold_rate = service == map_->services.end() ? 0 : service->second.cold_rate;
+    if (server->cold_until > now && cold_rate > 0 &&
+        !take_cold_token(*server, cold_rate / owner_.settings_.assumed_vms, now)) {
+        return nullptr;
+    }
+    return server;
+}
+
+attempt_facts transparent_run::describe_attempt(const fleet_server& server) const
+{
+    attempt_facts attempt;
+    attempt.server = server.record.name;
+    attempt.account = account_;
+    attempt.left = time_left();
+    attempt.model = model_;
+    if (answer_begun_ && !events_.last_id().empty()) {
+        attempt.last_event = events_.last_id();
+    }
+    return attempt;
+}
+
+void transparent_run::send_attempt()
+{
+    const auto self = shared_from_this();
+    if (time_left() < least_try) {
+        on_time_over();
+        return;
+    }
+    server_ = pick_server();
+    if (!server_) {
+        if (answer_begun_) {
+            break_off("no server can go on with the stream");
+        }
+        else if (progress_ == progress::nothing_ran) {
+            refuse(503, "no server has room");
+        }
+        else {
+            refuse(502, "no other server has room");
+        }
+        return;
+    }
+    ++sends_;
+    tried_.push_back(server_->record.name);
+    attempt_began_ = owner_.loop_.time().now();
+    head_ = {};
+    body_.clear();
+    const http_request_head head = owner_.protocol_.write_attempt(exchange_->head(), describe_attempt(*server_));
+    client_request request;
+    request.key = server_->record.name.value();
+    request.address = server_->record.address;
+    request.head = head;
+    request.body = exchange_->body();
+    request.connect_time = std::min(connect_time, time_left());
+    request.may_reuse = may_repeat(*route_);
+    request.id_header = owner_.protocol_.id_header;
+    client_callbacks callbacks;
+    callbacks.head = [self](const http_answer_head& answer) { self->on_head(answer); };
+    callbacks.body = [self](std::string_view bytes) { self->on_body(bytes); };
+    callbacks.done = [self] { self->on_done(); };
+    callbacks.failed = [self](const send_failure& failed) { self->on_failed(failed); };
+    ++server_->in_flight;
+    auto started = owner_.pool_.start(request, std::move(callbacks));
+    if (!started) {
+        on_failed({send_state::not_sent, started.error().message});
+        return;
+    }
+    call_ = std::move(*started);
+}
+
+void transparent_run::end_attempt()
+{
+    if (call_) {
+        call_->cancel();
+        call_.reset();
+    }
+    if (server_) {
+        assert(server_->in_flight > 0 && "an attempt is counted at its server");
+        --server_->in_flight;
+        server_.reset();
+    }
+}
+
+void transparent_run::on_head(const http_answer_head& head)
+{
+    const answer_facts facts = owner_.protocol_.read_answer(head);
+    first_byte_ = owner_.loop_.time().now() - attempt_began_;
+    note_answer(*server_, facts, owner_.loop_.time().now());
+    if (facts.not_run) {
+        on_not_run(facts);
+        return;
+    }
+    ++runs_;
+    progress_ = progress::may_have_run;
+    head_ = head;
+    const bool success = head.status >= first_success && head.status < first_redirect;
+    if (!success) {
+        note_quality(false);
+        if (head.status >= first_server_failure && try_again("the server failed")) {
+            return;
+        }
+        streams_ = false;
+        if (answer_begun_) {
+            break_off("the server failed to go on with the stream");
+        }
+        return;
+    }
+    if (drops_answer(facts)) {
+        note_quality(true);
+        if (try_again("a larger model answers")) {
+            model_ = route_->ladder.back();
+            ladder_step_ = route_->ladder.size() - 1;
+            // The larger model may run where the smaller one did.
+            tried_.clear();
+            return;
+        }
+    }
+    streams_ = route_->kind == request_kind::streaming;
+    if (streams_ && !answer_begun_) {
+        answer_begun_ = true;
+        http_answer_head forwarded = head;
+        std::erase_if(forwarded.headers,
+                      [&head](const http_header& header) { return is_hop_by_hop(head.headers, header.name); });
+        exchange_->begin(forwarded);
+    }
+}
+
+bool transparent_run::drops_answer(const answer_facts& facts) const
+{
+    if (answer_begun_ || !model_ || ladder_step_ + 1 >= route_->ladder.size() || !facts.confidence) {
+        return false;
+    }
+    return *facts.confidence < kept_confidence && may_run_again();
+}
+
+void transparent_run::on_body(std::string_view bytes)
+{
+    if (!call_) {
+        return;
+    }
+    if (!streams_) {
+        body_.append(bytes);
+        return;
+    }
+    exchange_->send_piece(events_.take(bytes));
+    if (exchange_->unsent() > most_unsent) {
+        call_->pause(true);
+    }
+}
+
+void transparent_run::on_done()
+{
+    note_quality(head_.status < first_server_failure);
+    if (!streams_) {
+        deliver_plain();
+        return;
+    }
+    if (events_.has_partial()) {
+        // The server ended in order within an event: what it sent is not whole.
+        if (!try_again("the stream ended within an event")) {
+            break_off("the stream ended within an event");
+        }
+        return;
+    }
+    exchange_->finish();
+    finish(head_.status, "answered");
+}
+
+void transparent_run::deliver_plain()
+{
+    http_answer_head forwarded = head_;
+    std::erase_if(forwarded.headers,
+                  [this](const http_header& header) { return is_hop_by_hop(head_.headers, header.name); });
+    exchange_->answer(forwarded, body_);
+    finish(head_.status, "answered");
+}
+
+void transparent_run::on_failed(const send_failure& failed)
+{
+    note_failure(*server_, owner_.loop_.time().now());
+    log_event(log_severity::info, "attempt_failed",
+              {{"request", facts_.id.value()},
+               {"server", server_->record.name.value()},
+               {"sent", failed.state == send_state::sent},
+               {"reason", failed.reason}});
+    if (failed.state == send_state::sent) {
+        progress_ = progress::may_have_run;
+        note_quality(false);
+        // Whether it ran is not known; counted as a run, as runs are bounded.
+        if (head_.status == 0) {
+            ++runs_;
+        }
+    }
+    const bool sent = failed.state == send_state::sent;
+    if (!sent && sends_ < most_sends) {
+        // Nothing arrived anywhere, so this costs no retry.
+        end_attempt();
+        send_attempt();
+        return;
+    }
+    if (sent && try_again("the attempt failed")) {
+        return;
+    }
+    if (answer_begun_) {
+        break_off("the stream broke");
+        return;
+    }
+    refuse(progress_ == progress::nothing_ran ? 503 : 502, "no server answered");
+}
+
+void transparent_run::on_not_run(const answer_facts& facts)
+{
+    if (facts.is_other_server) {
+        // Its entry no longer describes what listens there.
+        note_failure(*server_, owner_.loop_.time().now());
+    }
+    else {
+        constexpr std::chrono::milliseconds full_time{100};
+        server_->avoid_until = owner_.loop_.time().now() + full_time;
+    }
+    const char* reason = facts.is_other_server ? "another server has the address" : "the server refused";
+    if (try_again(reason)) {
+        return;
+    }
+    if (answer_begun_) {
+        break_off(reason);
+        return;
+    }
+    refuse(progress_ == progress::nothing_ran ? 503 : 502, reason);
+}
+
+bool transparent_run::may_run_again() const
+{
+    if (progress_ == progress::may_have_run && !may_repeat(*route_)) {
+        return false;
+    }
+    return runs_ < route_->most_runs && sends_ < most_sends;
+}
+
+bool transparent_run::try_again(const char* reason)
+{
+    if (!may_run_again()) {
+        return false;
+    }
+    const auto delay =
+        owner_.budget_of(service_).plan_retry(1, least_try, deadline_, owner_.loop_.time().now(), owner_.random_);
+    if (!delay) {
+        return false;
+    }
+    log_event(log_severity::info, "attempt_repeated",
+              {{"request", facts_.id.value()},
+               {"server", server_->record.name.value()},
+               {"reason", reason},
+               {"runs", runs_},
+               {"left_ms", time_left().count()}});
+    end_attempt();
+    events_.drop_partial();
+    retry_timer_ = owner_.loop_.schedule(*delay, [self = shared_from_this()] {
+        self->retry_timer_.reset();
+        self->send_attempt();
+    });
+    return true;
+}
+
+void transparent_run::note_quality(bool good)
+{
+    rollout_watch* watch = owner_.fleet_.rollout_of(service_);
+    if (watch == nullptr || !server_) {
+        return;
+    }
+    const std::string group = route_->name.value() + "/" + (model_ ? model_->value() : "");
+    watch->note_answer(server_->record.version == watch->order().target, group, good, first_byte_);
+}
+
+void transparent_run::on_time_over()
+{
+    if (ended_) {
+        return;
+    }
+    if (answer_begun_) {
+        break_off("the time was over");
+        return;
+    }
+    const bool not_run = progress_ == progress::nothing_ran && !call_;
+    refuse(not_run ? 503 : 504, "the time was over");
+}
+
+void transparent_run::on_client_gone()
+{
+    if (!ended_) {
+        finish(0, "the client left");
+    }
+}
+
+void transparent_run::refuse(int status, const char* reason)
+{
+    http_answer_head head = own_answer(status);
+    if (status == 503) {
+        std::uniform_int_distribution<long> any{earliest_return.count(), latest_return.count()};
+        std::array<char, 16> seconds{};
+        std::snprintf(seconds.data(), seconds.size(), "%.3f", static_cast<double>(any(owner_.random_)) / 1000);
+        head.headers.push_back({"Retry-After", seconds.data()});
+    }
+    exchange_->answer(head, {});
+    finish(status, reason);
+}
+
+void transparent_run::break_off(const char* reason)
+{
+    exchange_->abort();
+    finish(0, reason);
+}
+
+void transparent_run::finish(int status, const char* reason)
+{
+    ended_ = true;
+    for (auto* timer : {&deadline_timer_, &retry_timer_}) {
+        if (*timer) {
+            owner_.loop_.cancel(**timer);
+            timer->reset();
+        }
+    }
+    const std::string server = server_ ? server_->record.name.value() : "";
+    end_attempt();
+    const bool failed = status < first_success || status >= first_redirect;
+    log_event(
+        failed ? log_severity::info : log_severity::debug, "request_ended",
+        {{"request", facts_.id.value()},
+         {"route", route_ != nullptr ? route_->name.value() : ""},
+         {"status", status},
+         {"reason", reason},
+         {"server", server},
+         {"sends", sends_},
+         {"runs", runs_},
+         {"configuration", map_ ? map_->version.value() : 0},
+         {"ms", std::chrono::duration<double, std::milli>(owner_.loop_.time().now() - exchange_->began()).count()}});
+    // The callbacks hold the run; without them it ends with its last caller.
+    exchange_->on_gone(nullptr);
+    exchange_->on_drained(nullptr);
+}
+
+} // namespace agatespar
--- /dev/null
+++ b/lib/gateway/transparent_run.h
@@ -0,0 +1,85 @@
+// The life of one transparent request: checks, attempts at servers, and the one answer.
+#pragma once
+
+#include <agatespar/gateway/event_splitter.h>
+#include <agatespar/gateway/gateway.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace agatespar {
+
+class transparent_run : public std::enable_shared_from_this<transparent_run> {
+public:
+    transparent_run(gateway& owner, std::shared_ptr<server_exchange> exchange);
+    transparent_run(const transparent_run&) = delete;
+    transparent_run& operator=(const transparent_run&) = delete;
+    ~transparent_run();
+
+    void start();
+
+private:
+    /// What is proven about all attempts so far.
+    enum class progress {
+        nothing_ran,
+        may_have_run,
+    };
+
+    bool accept();
+    void choose_version();
+    void send_attempt();
+    std::shared_ptr<fleet_server> pick_server();
+    attempt_facts describe_attempt(const fleet_server& server) const;
+    void on_head(const http_answer_head& head);
+    void on_body(std::string_view bytes);
+    void on_done();
+    void on_failed(const send_failure& failure);
+    void on_not_run(const answer_facts& facts);
+    void on_time_over();
+    void on_client_gone();
+    bool drops_answer(const answer_facts& facts) const;
+    void note_quality(bool good);
+
+    /// Tries another server if the request, its runs, time and the budget allow it. @return whether it does.
+    bool try_again(const char* reason);
+    bool may_run_again() const;
+    void deliver_plain();
+    void refuse(int status, const char* reason);
+    void break_off(const char* reason);
+    void end_attempt();
+    void finish(int status, const char* reason);
+    std::chrono::milliseconds time_left() const;
+
+    gateway& owner_;
+    std::shared_ptr<server_exchange> exchange_;
+    std::shared_ptr<const service_map> map_;
+    const service_route* route_{nullptr};
+    service_name service_;
+    request_facts facts_;
+    std::optional<client_account_name> account_;
+    std::optional<model_name> model_;
+    std::size_t ladder_step_{0};
+    version_choice version_{version_choice::any};
+    steady_time deadline_;
+    std::optional<timer_id> deadline_timer_;
+    std::optional<timer_id> retry_timer_;
+    int sends_{0};
+    int runs_{0};
+    progress progress_{progress::nothing_ran};
+    std::vector<server_name> tried_;
+
+    std::shared_ptr<fleet_server> server_;
+    std::shared_ptr<client_call> call_;
+    steady_time attempt_began_;
+    duration first_byte_{0};
+    http_answer_head head_;
+    std::string body_;
+    event_splitter events_;
+    bool streams_{false};
+    bool answer_begun_{false};
+    bool ended_{false};
+};
+
+} // namespace agatespar
--- /dev/null
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -0,0 +1,182 @@
+// Tests of a roll-out's course, with several VMs that share what they saw, on a manual clock.
+#include <agatespar/gateway/evidence_record.h>
+#include <agatespar/gateway/rollout_watch.h>
+#include <agatespar/support/hash.h>
+
+#include <catch2/catch.hpp>
+
+#include <random>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+const rollout_order order{service_name{"one"}, version_name{"v2"}, 24s};
+
+/// VMs that answer requests and exchange evidence each 200 ms.
+struct fleet {
+    manual_clock time;
+    std::mt19937_64 random{5};
+    std::vector<rollout_watch> vms;
+    int target_answers{0};
+    int answers{0};
+    int bad_answers{0};
+    std::optional<rollout_report> report;
+
+    explicit fleet(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            vms.emplace_back(order, rollout_settings{}, i + 1, std::vector<session_hash>{}, time.now());
+        }
+    }
+    double draw() { return std::uniform_real_distribution<double>{}(random); }
+    /// One request at each VM, then 50 ms. @param bad share of the new version's answers that are bad.
+    void step(double bad, duration target_time)
+    {
+        for (rollout_watch& vm : vms) {
+            const bool by_target = vm.choose(draw(), std::nullopt, time.now()) == version_choice::prefer_target;
+            const bool good = !by_target || draw() >= bad;
+            vm.note_answer(by_target, "route", good, by_target ? target_time : 200ms);
+            ++answers;
+            target_answers += by_target ? 1 : 0;
+            bad_answers += good ? 0 : 1;
+        }
+        time.advance(50ms);
+        for (rollout_watch& vm : vms) {
+            if (const auto evidence = vm.next_evidence(time.now())) {
+                const auto record = write_evidence(*evidence, "vm");
+                for (rollout_watch& other : vms) {
+                    other.take_evidence(*read_evidence(*record.value));
+                }
+            }
+            if (const auto next = vm.next_report(time.now()); next && !report) {
+                report = next;
+            }
+        }
+    }
+};
+
+} // namespace
+
+SCENARIO("a good version gets a small share, then is complete before its deadline")
+{
+    fleet test{9};
+    while (!test.report) {
+        REQUIRE(test.time.now() < steady_time{1h} + 24s);
+        test.step(0.0, 200ms);
+    }
+    CHECK(test.report->state == rollout_state::complete);
+    CHECK(test.report->target == version_name{"v2"});
+    // With all requests of the time that is left, the new version stays within the operators' 15 in 100.
+    const double left = 1 - std::chrono::duration<double>(test.time.now() - steady_time{1h}).count() / 24;
+    const double before = (1 - left) * test.target_answers / test.answers;
+    CHECK(before + left < 0.15);
+}
+
+SCENARIO("a bad version is reverted long before its fiftieth bad answer is five seconds old")
+{
+    const double bad = GENERATE(1.0, 0.5, 0.35);
+    CAPTURE(bad);
+    fleet test{9};
+    while (!test.report) {
+        REQUIRE(test.time.now() < steady_time{1h} + 20s);
+        test.step(bad, 200ms);
+    }
+    CHECK(test.report->state == rollout_state::reverted);
+    CHECK(test.bad_answers <= 50);
+}
+
+SCENARIO("a version that turns slow is reverted too")
+{
+    fleet test{9};
+    for (int i = 0; i < 100; ++i) {
+        test.step(0.0, 200ms);
+    }
+    REQUIRE(!test.report);
+    for (int i = 0; i < 200 && !test.report; ++i) {
+        test.step(0.0, 1600ms);
+    }
+    REQUIRE(test.report);
+    CHECK(test.report->state == rollout_state::reverted);
+}
+
+SCENARIO("a version with the old one's share of errors is not reverted")
+{
+    fleet test{9};
+    for (int i = 0; i < 400 && !test.report; ++i) {
+        for (rollout_watch& vm : test.vms) {
+            vm.note_answer(false, "route", test.draw() >= 0.14, 200ms);
+        }
+        test.step(0.14, 200ms);
+    }
+    CHECK((!test.report || test.report->state == rollout_state::complete));
+}
+
+SCENARIO("sessions keep their version")
+{
+    manual_clock time;
+    const session_hash low = 1;
+    const session_hash other = 2;
+    const session_hash high = ~0ULL;
+    rollout_watch here{order, {}, 1, {low}, time.now()};
+    rollout_watch there{order, {}, 2, {}, time.now()};
+    // What one VM knew to be under way when the order came is told to the others before any is exposed.
+    const auto evidence = here.next_evidence(time.now());
+    REQUIRE(evidence);
+    there.take_evidence(*evidence);
+    CHECK(there.choose(0, other, time.now()) == version_choice::others_only);
+    time.advance(10s);
+    CHECK(there.choose(0, low, time.now()) == version_choice::others_only);
+    // One that came before the exposure began has begun on the old version.
+    CHECK(there.choose(0, other, time.now()) == version_choice::others_only);
+    CHECK(here.choose(0, other, time.now()) == version_choice::prefer_target);
+    CHECK(here.choose(0, other, time.now()) == version_choice::prefer_target);
+    CHECK(here.choose(0, high, time.now()) == version_choice::others_only);
+
+    WHEN("the roll-out is complete, the old servers stop at once")
+    {
+        here.take_report({order.service, order.target, rollout_state::complete});
+        CHECK(here.choose(0, low, time.now()) == version_choice::target_only);
+        CHECK(here.choose(0.99, std::nullopt, time.now()) == version_choice::target_only);
+        AND_WHEN("a late report of another VM says otherwise, the first one holds")
+        {
+            here.take_report({order.service, order.target, rollout_state::reverted});
+            CHECK(here.state() == rollout_state::complete);
+        }
+    }
+    WHEN("it is reverted")
+    {
+        here.take_report({order.service, order.target, rollout_state::reverted});
+        CHECK(here.choose(0, other, time.now()) == version_choice::others_only);
+        CHECK(!here.next_report(time.now()));
+    }
+    WHEN("the report is about an older order")
+    {
+        here.take_report({order.service, version_name{"v0"}, rollout_state::reverted});
+        CHECK(here.state() == rollout_state::in_progress);
+    }
+}
+
+SCENARIO("recent sessions are forgotten when their requests no longer belong together")
+{
+    manual_clock time;
+    recent_sessions sessions{5s, 0.5};
+    sessions.note(1, time.now());
+    sessions.note(~0ULL, time.now());
+    CHECK(sessions.list(time.now()) == std::vector<session_hash>{1});
+    time.advance(4s);
+    sessions.note(2, time.now());
+    time.advance(2s);
+    CHECK(sessions.list(time.now()) == std::vector<session_hash>{2});
+    CHECK(place_of_session(0) == 0);
+    CHECK(place_of_session(~0ULL) < 1);
+}
+
+SCENARIO("evidence that can't be read is an error")
+{
+    CHECK(!read_evidence("{}"));
+    CHECK(!read_evidence("[]"));
+    CHECK(!read_evidence("\xff"));
+    CHECK(!read_evidence(R"({"vm":1,"service":"s","target":"t","target_good":"many"})"));
+}
