Begin the tests of whole answers when each engine has room

Cause of the red test, proven: the tests say that each engine has room for all, but began as soon as one engine gave out permits. The other's owner was still in its takeover wait, so all requests ran into the failing engine until their attempts were used up; explanations show 'Refused as unavailable' at the sound engine throughout, and its count of runs was 0. Ruled out: the retry budget, which was suspected (5 of 10 saved retries used). The set-up now asks until each engine has run something, which also fails if an engine never gives out a permit.

--- a/test/whole_answers_test.py
+++ b/test/whole_answers_test.py
@@ -18,6 +18,13 @@
         self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
         # Each engine has room for all.
         self.fleet.start_one_zone("vm-1", engines=2, cold_slots=16)
+        # A server's new owner gives out no permits until those of an owner before may have lapsed, and the engines
+        # become known one after the other: an engine has room for all only once it has run something.
+        wait_until(self.all_engines_run, "each engine to run a request")
+
+    def all_engines_run(self):
+        self.ask("Is anyone there?", False)
+        return all(self.fleet.counts(engine)["runs"] for engine in ENGINES)
 
     def on_all_engines(self, **faults):
         for engine in ENGINES:
