--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -3,12 +3,12 @@
 
 #include <agatespar/gateway/fleet_state.h>
 #include <agatespar/gateway/protocol.h>
+#include <agatespar/gateway/repeat_budget.h>
 #include <agatespar/gateway/server_choice.h>
 #include <agatespar/gateway/topic_follower.h>
 #include <agatespar/http/client.h>
 #include <agatespar/http/server.h>
 #include <agatespar/kernel/event_loop.h>
-#include <agatespar/routing/retry_budget.h>
 #include <agatespar/telemetry/metrics.h>
 
 #include <chrono>
@@ -33,12 +33,10 @@
     std::chrono::milliseconds server_pause{500};
     /// Between reads of what VMs saw of a roll-out, so that their records share a call.
     std::chrono::milliseconds evidence_pause{250};
-    /// Further attempts per request, over time, that all VMs may make together, and those on top of it.
-    double retry_share{0.9};
-    double retry_slack{58};
     /// VMs among which what all may do together is divided. Above the number that a deployment grows to, as VMs that
     /// can't hear each other must stay below the bound too.
     double assumed_vms{16};
+    repeat_settings repeats;
     choice_settings choice;
     rollout_settings rollouts;
 };
@@ -77,7 +75,7 @@
     void write_reports();
     void write_evidence_rows();
     void end_when_idle(steady_time until);
-    retry_budget& budget_of(const service_name& service);
+    repeat_budget& budget_of(const service_name& service);
 
     event_loop& loop_;
     gateway_settings settings_;
@@ -92,7 +90,7 @@
     std::unique_ptr<topic_follower> servers_;
     std::unique_ptr<topic_follower> reports_;
     std::unique_ptr<topic_follower> evidence_;
-    std::map<service_name, retry_budget> budgets_;
+    std::map<service_name, repeat_budget> budgets_;
     bool writing_report_{false};
     bool stopping_{false};
     std::optional<timer_id> tick_timer_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -194,20 +194,9 @@
     }
 }
 
-retry_budget& gateway::budget_of(const service_name& service)
+repeat_budget& gateway::budget_of(const service_name& service)
 {
-    const auto found = budgets_.find(service);
-    if (found != budgets_.end()) {
-        return found->second;
-    }
-    retry_settings retries;
-    // Each VM keeps to a part of the share, as requests are spread unevenly over the window in which it is judged.
-    constexpr double kept_part = 0.8;
-    retries.share = settings_.retry_share * kept_part;
-    retries.burst = std::max(1.0, settings_.retry_slack / settings_.assumed_vms);
-    retries.first_delay = std::chrono::milliseconds{5};
-    retries.longest_delay = std::chrono::milliseconds{100};
-    return budgets_.emplace(service, retry_budget{retries}).first->second;
+    return budgets_.try_emplace(service, settings_.repeats).first->second;
 }
 
 void gateway::stop()
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -56,7 +56,7 @@
         self->deadline_timer_.reset();
         self->on_time_over();
     });
-    owner_.budget_of(service_).on_fresh_request();
+    owner_.budget_of(service_).count_request(owner_.loop_.time().now());
     send_attempt();
 }
 
@@ -247,7 +247,7 @@
     const bool success = head.status >= first_success && head.status < first_redirect;
     if (!success) {
         note_quality(false);
-        if (head.status >= first_server_failure && try_again("the server failed")) {
+        if (head.status >= first_server_failure && try_again(repeat_reason::failure, "the server failed")) {
             return;
         }
         streams_ = false;
@@ -258,7 +258,7 @@
     }
     if (drops_answer(facts)) {
         note_quality(true);
-        if (try_again("a larger model answers")) {
+        if (try_again(repeat_reason::larger_model, "a larger model answers")) {
             model_ = route_->ladder.back();
             ladder_step_ = route_->ladder.size() - 1;
             // The larger model may run where the smaller one did.
@@ -308,7 +308,7 @@
     }
     if (events_.has_partial()) {
         // The server ended in order within an event: what it sent is not whole.
-        if (!try_again("the stream ended within an event")) {
+        if (!try_again(repeat_reason::failure, "the stream ended within an event")) {
             break_off("the stream ended within an event");
         }
         return;
@@ -349,7 +349,7 @@
         send_attempt();
         return;
     }
-    if (sent && try_again("the attempt failed")) {
+    if (sent && try_again(repeat_reason::failure, "the attempt failed")) {
         return;
     }
     if (answer_begun_) {
@@ -370,7 +370,7 @@
         server_->avoid_until = owner_.loop_.time().now() + full_time;
     }
     const char* reason = facts.is_other_server ? "another server has the address" : "the server refused";
-    if (try_again(reason)) {
+    if (try_again(repeat_reason::failure, reason)) {
         return;
     }
     if (answer_begun_) {
@@ -388,16 +388,17 @@
     return runs_ < route_->most_runs && sends_ < most_sends;
 }
 
-bool transparent_run::try_again(const char* reason)
+bool transparent_run::try_again(repeat_reason kind, const char* reason)
 {
     if (!may_run_again()) {
         return false;
     }
-    const auto delay =
-        owner_.budget_of(service_).plan_retry(1, least_try, deadline_, owner_.loop_.time().now(), owner_.random_);
-    if (!delay) {
+    const steady_time now = owner_.loop_.time().now();
+    repeat_budget& budget = owner_.budget_of(service_);
+    if (time_left() < least_try || !budget.allows(kind, now)) {
         return false;
     }
+    budget.count_repeat(now);
     log_event(log_severity::info, "attempt_repeated",
               {{"request", facts_.id.value()},
                {"server", server_->record.name.value()},
@@ -406,7 +407,8 @@
                {"left_ms", time_left().count()}});
     end_attempt();
     events_.drop_partial();
-    retry_timer_ = owner_.loop_.schedule(*delay, [self = shared_from_this()] {
+    // From the loop, as the caller may be a callback of the attempt that has just ended.
+    retry_timer_ = owner_.loop_.post([self = shared_from_this()] {
         self->retry_timer_.reset();
         self->send_attempt();
     });
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -43,7 +43,7 @@
     void note_quality(bool good);
 
     /// Tries another server if the request, its runs, time and the budget allow it. @return whether it does.
-    bool try_again(const char* reason);
+    bool try_again(repeat_reason kind, const char* reason);
     bool may_run_again() const;
     void deliver_plain();
     void refuse(int status, const char* reason);
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -112,7 +112,7 @@
         beast::error_code error;
         const std::size_t taken = impl_->put(boost::asio::buffer(input.data(), input.size()), error);
         input.erase(0, taken);
-        const outcome<void> result = to_outcome(error);
+        outcome<void> result = to_outcome(error);
         if (!result) {
             return result;
         }
