--- a/include/agatespar/gateway/protocol.h
+++ b/include/agatespar/gateway/protocol.h
@@ -48,6 +48,8 @@
     /// Set if the router chose the model.
     std::optional<model_name> model;
     std::optional<std::string> last_event;
+    /// 0 to 9, where 0 is first; none leaves it to the server.
+    std::optional<int> urgency;
 };
 
 /// How busy a server says it is.
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -1,6 +1,7 @@
 // Runs one transparent request.
 #include "transparent_run.h"
 
+#include <agatespar/gateway/urgency.h>
 #include <agatespar/support/hash.h>
 #include <agatespar/telemetry/log.h>
 
@@ -165,6 +166,9 @@
     attempt.account = account_;
     attempt.left = time_left();
     attempt.model = model_;
+    if (route_->has_prompts) {
+        attempt.urgency = urgency_of(facts_.prompt_tokens);
+    }
     if (answer_begun_ && !events_.last_id().empty()) {
         attempt.last_event = events_.last_id();
     }
