Explain each request in one bounded log line, and show metrics

One line for each request that ended, with every attempt, what was believed of the server's load and how old that was, and the outcome; ordinary ones are shed first. Metrics as Prometheus text at the deploy file's address.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -27,6 +27,9 @@
     std::string front_address;
     std::string readiness_address;
     std::string readiness_path;
+    /// "ip:port" where the metrics are shown, and their path.
+    std::string metrics_address;
+    std::string metrics_path;
     /// From the order to stop to the end of the process, at most.
     std::chrono::milliseconds stop_time{8000};
     /// Between reads of the servers' topic, whose records come one by one.
@@ -61,13 +64,17 @@
     void stop();
     std::string front_address() const { return front_->address(); }
     std::string readiness_address() const { return readiness_->address(); }
-    const metrics_registry& metrics() const { return metrics_; }
+    std::string metrics_address() const { return metrics_listener_->address(); }
+    /// Sets a function that brings its metrics up to date before they are shown.
+    void set_metrics_source(std::function<void(metrics_registry&)> source) { metrics_source_ = std::move(source); }
 
 private:
     friend class transparent_run;
 
     void start_followers();
     void answer_readiness(const std::shared_ptr<server_exchange>& exchange) const;
+    void answer_metrics(const std::shared_ptr<server_exchange>& exchange);
+    void refresh_metrics();
     void take_request(const std::shared_ptr<server_exchange>& exchange);
     void note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason);
     void apply_limits();
@@ -96,6 +103,8 @@
     std::optional<timer_id> tick_timer_;
     std::unique_ptr<http_listener> front_;
     std::unique_ptr<http_listener> readiness_;
+    std::unique_ptr<http_listener> metrics_listener_;
+    std::function<void(metrics_registry&)> metrics_source_;
 };
 
 } // namespace agatespar
--- a/include/agatespar/telemetry/log.h
+++ b/include/agatespar/telemetry/log.h
@@ -12,6 +12,8 @@
 
 namespace agatespar {
 
+class log_budget;
+
 enum class log_severity {
     debug,
     info,
@@ -47,6 +49,8 @@
     log_severity least{log_severity::info};
     /// Gives the lines' time stamps and must outlive the logging; null takes the operating system's clock.
     const clock* time{nullptr};
+    /// Bounds the lines over time and must outlive the logging; null writes all. Lines of severity debug are ordinary.
+    log_budget* budget{nullptr};
 };
 
 /// Sends all log lines to a stream, in place of the sink before. @param target must outlive the logging.
@@ -54,6 +58,15 @@
 /// Sends all log lines to standard error.
 void start_logging(const log_settings& settings);
 
+/// Ends the logging, before what start_logging() was given goes away.
+void stop_logging();
+
+/// @return whether a line would be written, so that it need not be built if not. Takes it from the budget: if this
+/// is true, the line must follow with log_granted_event().
+bool log_grants(log_severity severity);
+/// Writes a line that log_grants() has granted.
+void log_granted_event(log_severity severity, std::string_view event, std::initializer_list<log_field> fields = {});
+
 /// Writes one line: {"time","severity","source","event", fields...}. Does nothing before start_logging().
 /// @param event a fixed name in snake case, e.g. "server_cold". @param fields more detail; a field must not take the
 /// name of a standard key.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include <agatespar/telemetry/log.h>
 
 #include <algorithm>
+#include <array>
 
 namespace agatespar {
 
@@ -48,6 +49,12 @@
         return tl::make_unexpected(readiness.error());
     }
     opened->readiness_ = std::move(*readiness);
+    auto shown = http_listener::open(loop, settings.metrics_address, limits,
+                                     [self](const auto& exchange) { self->answer_metrics(exchange); });
+    if (!shown) {
+        return tl::make_unexpected(shown.error());
+    }
+    opened->metrics_listener_ = std::move(*shown);
     opened->start_followers();
     opened->tick();
     return opened;
@@ -135,6 +142,50 @@
     exchange->answer(own_answer(!asked ? 404 : is_ready() ? 200 : 503), {});
 }
 
+void gateway::answer_metrics(const std::shared_ptr<server_exchange>& exchange)
+{
+    if (exchange->head().target != settings_.metrics_path) {
+        exchange->answer(own_answer(404), {});
+        return;
+    }
+    refresh_metrics();
+    http_answer_head head = own_answer(200);
+    head.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    exchange->answer(head, render_prometheus(metrics_));
+}
+
+void gateway::refresh_metrics()
+{
+    const auto show = [this](std::string_view name, std::string_view help, double value, metric_labels labels = {}) {
+        metrics_.make_gauge(name, help, std::move(labels)).set(value);
+    };
+    show("agatespar_configuration_version", "Version of the configuration in force; 0 before the first.",
+         fleet_.map() ? static_cast<double>(fleet_.map()->version.value()) : 0);
+    show("agatespar_ready", "Whether this VM says that it is ready.", is_ready() ? 1 : 0);
+    show("agatespar_open_requests", "Requests under way.", static_cast<double>(front_->open_exchanges()));
+    show("agatespar_client_connections", "Open connections of clients.", static_cast<double>(front_->connections()));
+    show("agatespar_servers", "Backend servers that are known.", static_cast<double>(fleet_.directory().all().size()));
+    const std::array<std::pair<const char*, const topic_follower*>, 4> topics{{{"orders", orders_.get()},
+                                                                               {"servers", servers_.get()},
+                                                                               {"reports", reports_.get()},
+                                                                               {"evidence", evidence_.get()}}};
+    for (const auto& [name, follower] : topics) {
+        show("agatespar_store_reachable", "Whether a topic of the platform's store can be read.",
+             follower->is_reachable() ? 1 : 0, {{"topic", name}});
+    }
+    const auto count = [this](std::string_view name, std::string_view help, std::uint64_t value) {
+        metrics_.make_counter(name, help).value = value;
+    };
+    count("agatespar_server_connections_opened_total", "Connections opened to servers and the store.",
+          pool_.counters().opened);
+    count("agatespar_server_connections_reused_total", "Calls on kept connections.", pool_.counters().reused);
+    count("agatespar_strange_answers_total", "Answers of other requests that were skipped.",
+          pool_.counters().strange_answers);
+    if (metrics_source_) {
+        metrics_source_(metrics_);
+    }
+}
+
 void gateway::take_request(const std::shared_ptr<server_exchange>& exchange)
 {
     std::make_shared<transparent_run>(*this, exchange)->start();
--- /dev/null
+++ b/lib/gateway/run_report.cpp
@@ -0,0 +1,114 @@
+// Counts requests that ended and writes one line for each.
+#include <agatespar/gateway/run_report.h>
+#include <agatespar/telemetry/log.h>
+
+namespace agatespar {
+
+static constexpr int first_success = 200;
+static constexpr int first_redirect = 300;
+static constexpr int first_server_failure = 500;
+static constexpr int status_too_many = 429;
+static constexpr int status_unavailable = 503;
+static constexpr std::string_view client_left = "the client left";
+
+std::string_view outcome_of(const run_report& report)
+{
+    if (report.status == 0) {
+        return report.reason == client_left ? "left" : "broken";
+    }
+    if (report.status >= first_success && report.status < first_redirect) {
+        return report.goal.count() > 0 && report.first_byte > report.goal ? "late" : "answered";
+    }
+    if (report.status == status_unavailable || report.status == status_too_many) {
+        return "refused";
+    }
+    return report.status >= first_server_failure ? "failed" : "rejected";
+}
+
+static std::string_view name_of(request_kind kind)
+{
+    switch (kind) {
+    case request_kind::safe:
+        return "safe";
+    case request_kind::unsafe:
+        return "unsafe";
+    case request_kind::streaming:
+        return "streaming";
+    }
+    return "unknown";
+}
+
+std::string describe_attempts(const std::vector<attempt_report>& attempts)
+{
+    std::string text;
+    for (const attempt_report& attempt : attempts) {
+        text += text.empty() ? "" : "; ";
+        text += attempt.server.value() + " " + attempt.version.value();
+        text += attempt.model.empty() ? "" : " " + attempt.model;
+        text += " load " + std::to_string(attempt.load) + "/" + std::to_string(attempt.slots);
+        text += " age " + std::to_string(attempt.load_age.count());
+        text += " of " + std::to_string(attempt.candidates);
+        text += " left " + std::to_string(attempt.time_left.count());
+        text += ": " + attempt.outcome + " " + std::to_string(attempt.took.count()) + " ms";
+    }
+    return text;
+}
+
+static void count_run(const run_report& report, metrics_registry& metrics)
+{
+    const std::string kind{name_of(report.kind)};
+    const std::string outcome{outcome_of(report)};
+    metrics
+        .make_counter("agatespar_requests_total", "Requests that ended, by kind and outcome.",
+                      {{"kind", kind}, {"outcome", outcome}})
+        .add();
+    if (outcome != "answered" && outcome != "late") {
+        metrics
+            .make_counter("agatespar_unanswered_total", "Requests without a success, by reason.",
+                          {{"reason", report.reason}})
+            .add();
+    }
+    if (report.first_byte.count() > 0) {
+        metrics
+            .make_histogram("agatespar_first_byte_seconds", "Time to the first byte of the answer, by kind.",
+                            latency_bounds(), {{"kind", kind}})
+            .record(std::chrono::duration<double>(report.first_byte).count());
+    }
+    for (const attempt_report& attempt : report.attempts) {
+        metrics
+            .make_counter(
+                "agatespar_attempts_total", "Attempts at servers, by service, version and outcome.",
+                {{"service", report.service}, {"version", attempt.version.value()}, {"outcome", attempt.outcome}})
+            .add();
+        metrics
+            .make_counter("agatespar_server_attempts_total", "Attempts, by server.",
+                          {{"server", attempt.server.value()}})
+            .add();
+    }
+}
+
+void report_run(const run_report& report, metrics_registry& metrics)
+{
+    count_run(report, metrics);
+    const std::string_view outcome = outcome_of(report);
+    const log_severity severity = outcome == "answered" ? log_severity::debug : log_severity::info;
+    if (!log_grants(severity)) {
+        return;
+    }
+    log_granted_event(severity, "request_ended",
+                      {{"request", report.id.value()},
+                       {"outcome", outcome},
+                       {"status", report.status},
+                       {"reason", report.reason},
+                       {"kind", name_of(report.kind)},
+                       {"account", report.account},
+                       {"route", report.route},
+                       {"service", report.service},
+                       {"configuration", report.configuration.value()},
+                       {"first_byte_ms", report.first_byte.count()},
+                       {"goal_ms", report.goal.count()},
+                       {"ms", report.total.count()},
+                       {"attempts", describe_attempts(report.attempts)}});
+}
+
+} // namespace agatespar
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -156,9 +156,27 @@
         !take_cold_token(*server, cold_rate / owner_.settings_.assumed_vms, now)) {
         return nullptr;
     }
+    note_attempt(*server, servers.size());
     return server;
 }
 
+void transparent_run::note_attempt(const fleet_server& server, std::size_t candidates)
+{
+    const steady_time now = owner_.loop_.time().now();
+    const bool told = server.reported_at != steady_time{};
+    attempt_report attempt;
+    attempt.server = server.record.name;
+    attempt.version = server.record.version;
+    attempt.model = model_ ? model_->value() : "";
+    attempt.candidates = candidates;
+    attempt.load = estimated_load(server);
+    attempt.slots = server.record.slots;
+    attempt.load_age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(told ? now - server.reported_at : now - now);
+    attempt.time_left = time_left();
+    report_.attempts.push_back(std::move(attempt));
+}
+
 attempt_facts transparent_run::describe_attempt(const fleet_server& server) const
 {
     attempt_facts attempt;
@@ -223,8 +241,14 @@
     call_ = std::move(*started);
 }
 
-void transparent_run::end_attempt()
+void transparent_run::end_attempt(const char* outcome)
 {
+    if (server_ && !report_.attempts.empty()) {
+        attempt_report& attempt = report_.attempts.back();
+        attempt.outcome = outcome;
+        attempt.took =
+            std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - attempt_began_);
+    }
     if (call_) {
         call_->cancel();
         call_.reset();
@@ -277,6 +301,8 @@
         std::erase_if(forwarded.headers,
                       [&head](const http_header& header) { return is_hop_by_hop(head.headers, header.name); });
         exchange_->begin(forwarded);
+        report_.first_byte =
+            std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - exchange_->began());
     }
 }
 
@@ -333,11 +359,6 @@
 void transparent_run::on_failed(const send_failure& failed)
 {
     note_failure(*server_, owner_.loop_.time().now());
-    log_event(log_severity::info, "attempt_failed",
-              {{"request", facts_.id.value()},
-               {"server", server_->record.name.value()},
-               {"sent", failed.state == send_state::sent},
-               {"reason", failed.reason}});
     if (failed.state == send_state::sent) {
         progress_ = progress::may_have_run;
         note_quality(false);
@@ -349,7 +370,7 @@
     const bool sent = failed.state == send_state::sent;
     if (!sent && sends_ < most_sends) {
         // Nothing arrived anywhere, so this costs no retry.
-        end_attempt();
+        end_attempt("no connection");
         send_attempt();
         return;
     }
@@ -403,13 +424,7 @@
         return false;
     }
     budget.count_repeat(now);
-    log_event(log_severity::info, "attempt_repeated",
-              {{"request", facts_.id.value()},
-               {"server", server_->record.name.value()},
-               {"reason", reason},
-               {"runs", runs_},
-               {"left_ms", time_left().count()}});
-    end_attempt();
+    end_attempt(reason);
     events_.drop_partial();
     // From the loop, as the caller may be a callback of the attempt that has just ended.
     retry_timer_ = owner_.loop_.post([self = shared_from_this()] {
@@ -477,20 +492,23 @@
             timer->reset();
         }
     }
-    const std::string server = server_ ? server_->record.name.value() : "";
-    end_attempt();
-    const bool failed = status < first_success || status >= first_redirect;
-    log_event(
-        failed ? log_severity::info : log_severity::debug, "request_ended",
-        {{"request", facts_.id.value()},
-         {"route", route_ != nullptr ? route_->name.value() : ""},
-         {"status", status},
-         {"reason", reason},
-         {"server", server},
-         {"sends", sends_},
-         {"runs", runs_},
-         {"configuration", map_ ? map_->version.value() : 0},
-         {"ms", std::chrono::duration<double, std::milli>(owner_.loop_.time().now() - exchange_->began()).count()}});
+    end_attempt(reason);
+    report_.id = facts_.id;
+    report_.account = account_ ? account_->value() : "";
+    report_.route = route_ != nullptr ? route_->name.value() : "";
+    report_.service = service_.value();
+    report_.kind = route_ != nullptr ? route_->kind : request_kind::safe;
+    report_.status = status;
+    report_.reason = reason;
+    report_.configuration = map_ ? map_->version : service_map_version{};
+    report_.goal = route_ != nullptr ? route_->goal : std::chrono::milliseconds{0};
+    report_.total =
+        std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - exchange_->began());
+    const bool success = status >= first_success && status < first_redirect;
+    if (success && report_.first_byte.count() == 0) {
+        report_.first_byte = report_.total;
+    }
+    report_run(report_, owner_.metrics_);
     // The callbacks hold the run; without them it ends with its last caller.
     exchange_->on_gone(nullptr);
     exchange_->on_drained(nullptr);
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -3,6 +3,7 @@
 
 #include <agatespar/gateway/event_splitter.h>
 #include <agatespar/gateway/gateway.h>
+#include <agatespar/gateway/run_report.h>
 
 #include <memory>
 #include <optional>
@@ -48,7 +49,9 @@
     void deliver_plain();
     void refuse(int status, const char* reason);
     void break_off(const char* reason);
-    void end_attempt();
+    void note_attempt(const fleet_server& server, std::size_t candidates);
+    /// @param outcome how the attempt went, for the request's report.
+    void end_attempt(const char* outcome);
     void finish(int status, const char* reason);
     std::chrono::milliseconds time_left() const;
 
@@ -74,6 +77,7 @@
     std::shared_ptr<client_call> call_;
     steady_time attempt_began_;
     duration first_byte_{0};
+    run_report report_;
     http_answer_head head_;
     std::string body_;
     event_splitter events_;
--- a/lib/telemetry/log.cpp
+++ b/lib/telemetry/log.cpp
@@ -1,5 +1,6 @@
 // JSON log lines through Boost.Log.
 #include <agatespar/telemetry/log.h>
+#include <agatespar/telemetry/log_budget.h>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/value_extraction.hpp>
@@ -77,9 +78,7 @@
 void start_logging(const log_settings& settings, std::ostream& target)
 {
     logging& current = current_logging();
-    if (current.sink) {
-        boost::log::core::get()->remove_sink(current.sink);
-    }
+    stop_logging();
     current.settings = settings;
     current.sink = boost::make_shared<text_sink>();
     current.sink->locked_backend()->add_stream(boost::shared_ptr<std::ostream>{&target, boost::null_deleter{}});
@@ -97,12 +96,38 @@
     start_logging(settings, std::cerr);
 }
 
-void log_event(log_severity severity, std::string_view event, std::initializer_list<log_field> fields)
+void stop_logging()
 {
     logging& current = current_logging();
-    if (!current.sink) {
-        return;
+    if (current.sink) {
+        boost::log::core::get()->remove_sink(current.sink);
+        current.sink.reset();
+    }
+    current.settings = {};
+}
+
+bool log_grants(log_severity severity)
+{
+    const logging& current = current_logging();
+    if (!current.sink || severity < current.settings.least) {
+        return false;
+    }
+    log_budget* budget = current.settings.budget;
+    const steady_time now =
+        current.settings.time == nullptr ? std::chrono::steady_clock::now() : current.settings.time->now();
+    return budget == nullptr || budget->take(severity == log_severity::debug, now);
+}
+
+void log_event(log_severity severity, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (log_grants(severity)) {
+        log_granted_event(severity, event, fields);
     }
+}
+
+void log_granted_event(log_severity severity, std::string_view event, std::initializer_list<log_field> fields)
+{
+    logging& current = current_logging();
     boost::log::record record = current.logger.open_record(boost::log::keywords::severity = severity);
     if (!record) {
         return;
