Test transparent requests with real daemons, the store's stand-in and failing servers

agatespar-standin gains two roles: store (topics with conditions on appends, pages of newest records, long reads, outages, forgotten history) and runner (safe, unsafe and streaming answers of several models, and faults).

The case on the log failed first: an attempt's outcome said that the request ended, not why the attempt failed; it now carries the connection's failure.

--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -245,7 +245,9 @@
 {
     if (server_ && !report_.attempts.empty()) {
         attempt_report& attempt = report_.attempts.back();
-        attempt.outcome = outcome;
+        if (attempt.outcome.empty()) {
+            attempt.outcome = outcome;
+        }
         attempt.took =
             std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - attempt_began_);
     }
@@ -359,6 +361,7 @@
 void transparent_run::on_failed(const send_failure& failed)
 {
     note_failure(*server_, owner_.loop_.time().now());
+    report_.attempts.back().outcome = failed.reason;
     if (failed.state == send_state::sent) {
         progress_ = progress::may_have_run;
         note_quality(false);
--- a/tools/agatespar-standin/http_server.cpp
+++ b/tools/agatespar-standin/http_server.cpp
@@ -49,19 +49,24 @@
     return value == nullptr ? std::string{} : std::string{value};
 }
 
-std::uint64_t exchange::query_number(const char* name, std::uint64_t fallback) const
+std::string exchange::query_text(const char* name) const
 {
     const char* query = g_uri_get_query(soup_server_message_get_uri(message_));
     if (query == nullptr) {
-        return fallback;
+        return {};
     }
     GHashTable* fields = soup_form_decode(query);
     const auto* text = static_cast<const char*>(g_hash_table_lookup(fields, name));
-    std::uint64_t value = fallback;
-    if (text != nullptr) {
-        std::from_chars(text, text + std::char_traits<char>::length(text), value);
-    }
+    std::string copy{text == nullptr ? "" : text};
     g_hash_table_unref(fields);
+    return copy;
+}
+
+std::uint64_t exchange::query_number(const char* name, std::uint64_t fallback) const
+{
+    const std::string text = query_text(name);
+    std::uint64_t value = fallback;
+    std::from_chars(text.data(), text.data() + text.size(), value);
     return value;
 }
 
@@ -75,9 +80,16 @@
     if (!open_) {
         return;
     }
-    const std::string text = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    answer_bytes(status, "application/json", document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+void exchange::answer_bytes(int status, const char* content_type, const std::string& bytes)
+{
+    if (!open_) {
+        return;
+    }
     soup_server_message_set_status(message_, static_cast<guint>(status), nullptr);
-    soup_server_message_set_response(message_, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
+    soup_server_message_set_response(message_, content_type, SOUP_MEMORY_COPY, bytes.data(), bytes.size());
     soup_server_message_unpause(message_);
 }
 
@@ -96,11 +108,15 @@
 }
 
 void exchange::send_event(const nlohmann::json& data)
+{
+    send_text("data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n");
+}
+
+void exchange::send_text(const std::string& text)
 {
     if (!open_) {
         return;
     }
-    const std::string text = "data: " + data.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n\n";
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY, text.data(),
                              text.size());
     ++unwritten_events_;
--- a/tools/agatespar-standin/http_server.h
+++ b/tools/agatespar-standin/http_server.h
@@ -26,13 +26,18 @@
     std::string header(const char* name) const;
     /// @return the value of a query parameter, or the fallback if it is missing or no number.
     std::uint64_t query_number(const char* name, std::uint64_t fallback) const;
+    /// @return the value of a query parameter, or an empty text.
+    std::string query_text(const char* name) const;
 
     void add_header(const char* name, const std::string& value);
     void answer(int status, const nlohmann::json& document);
+    void answer_bytes(int status, const char* content_type, const std::string& bytes);
     /// Answers with an error that says whether the request ran.
     void refuse(int status, const std::string& message, const std::string& ran = "not_run");
     void begin_events();
     void send_event(const nlohmann::json& data);
+    /// Sends a piece of the stream as it is.
+    void send_text(const std::string& text);
     void end_events();
     /// @return how many events wait to be written to the connection.
     std::size_t unwritten_events() const { return unwritten_events_; }
--- a/tools/agatespar-standin/main.cpp
+++ b/tools/agatespar-standin/main.cpp
@@ -20,7 +20,7 @@
 Usage:
   agatespar-standin --role=ROLE [options]
 
-The role is log, engine, plain, vms, rating or weights. On start, one JSON line on standard output tells the port.
+The role is log, engine, plain, vms, rating or weights, or of the users' platform store or runner. On start, one JSON line on standard output tells the port.
 POST /admin/faults switches faults on and off, GET /admin/counts tells what was done.
 
 Options:
@@ -134,6 +134,12 @@
     if (name == "rating") {
         return make_rating_role(loop);
     }
+    if (name == "store") {
+        return make_store_role(loop);
+    }
+    if (name == "runner") {
+        return make_runner_role(loop, settings);
+    }
     if (name == "weights") {
         return make_weights_role(loop, settings);
     }
--- a/tools/agatespar-standin/role.h
+++ b/tools/agatespar-standin/role.h
@@ -62,6 +62,8 @@
 std::unique_ptr<role> make_plain_role(event_loop& loop, const role_settings& settings);
 std::unique_ptr<role> make_vms_role(event_loop& loop);
 std::unique_ptr<role> make_rating_role(event_loop& loop);
+std::unique_ptr<role> make_store_role(event_loop& loop);
+std::unique_ptr<role> make_runner_role(event_loop& loop, const role_settings& settings);
 std::unique_ptr<role> make_weights_role(event_loop& loop, const role_settings& settings);
 
 /// @return an id for one run of a server, unlike those of all other runs whatever their seed.
--- /dev/null
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -0,0 +1,127 @@
+// A backend server of the users' platform: plain answers and resumable streams of several models, and faults.
+#include "role.h"
+
+#include <map>
+
+namespace agatespar::standin {
+
+namespace {
+
+struct runner_faults {
+    /// Refuses and says that the request did not run.
+    bool sheds{false};
+    /// Fails after the run.
+    bool fails{false};
+    /// Closes the connection after the run, without an answer.
+    bool loses_answers{false};
+    /// Breaks a stream in the middle of this event; 0: never.
+    std::uint64_t breaks_at_event{0};
+    std::chrono::milliseconds late{0};
+    /// Its opinion of a small model's answers.
+    int confidence{90};
+    std::uint64_t events{6};
+};
+
+class runner_role final : public role {
+public:
+    runner_role(event_loop& loop, const role_settings& settings) : loop_(loop), name_(settings.name) {}
+
+    void handle(const std::shared_ptr<exchange>& call) override;
+    void set_faults(const nlohmann::json& faults) override;
+    nlohmann::json counts() const override { return {{"runs", runs_}, {"accounts", accounts_}}; }
+
+private:
+    void answer(const std::shared_ptr<exchange>& call);
+    void stream(const std::shared_ptr<exchange>& call, std::uint64_t event);
+
+    event_loop& loop_;
+    std::string name_;
+    runner_faults faults_;
+    std::map<std::string, std::uint64_t> runs_;
+    /// Client accounts that were named, and whether a key came along.
+    std::map<std::string, std::uint64_t> accounts_;
+};
+
+} // namespace
+
+void runner_role::handle(const std::shared_ptr<exchange>& call)
+{
+    const std::string id = call->header("X-Attempt-Id");
+    call->add_header("X-Attempt-Id", id);
+    call->add_header("X-Runner-Id", name_);
+    if (call->header("X-Expect-Runner") != name_) {
+        call->refuse(421, "another server", "not_run");
+        return;
+    }
+    if (faults_.sheds || id.empty()) {
+        call->add_header("X-Not-Executed", "1");
+        call->refuse(id.empty() ? 400 : 503, "not run", "not_run");
+        return;
+    }
+    ++runs_[id];
+    ++accounts_[call->header("X-Tenant") + (call->header("Authorization").empty() ? "" : " with a key")];
+    loop_.schedule(faults_.late, [this, call] { answer(call); });
+}
+
+void runner_role::answer(const std::shared_ptr<exchange>& call)
+{
+    if (faults_.loses_answers) {
+        call->drop();
+        return;
+    }
+    call->add_header("X-Runner-Seal", name_ + "." + call->header("X-Attempt-Id"));
+    if (faults_.fails) {
+        call->refuse(500, "failed", "ran");
+        return;
+    }
+    if (call->header("X-Model").empty()) {
+        call->answer_bytes(200, "text/plain", call->method() + " " + call->path() + " " + call->body());
+        return;
+    }
+    const bool small = call->header("X-Model") == "small";
+    call->add_header("X-Confidence", std::to_string(small ? faults_.confidence : 95));
+    call->begin_events();
+    const std::string last = call->header("Last-Event-Id");
+    stream(call, last.empty() ? 1 : std::stoull(last) + 1);
+}
+
+void runner_role::stream(const std::shared_ptr<exchange>& call, std::uint64_t event)
+{
+    if (!call->is_open()) {
+        return;
+    }
+    if (event > faults_.events) {
+        call->end_events();
+        return;
+    }
+    const std::string text =
+        "id: " + std::to_string(event) + "\ndata: " + call->header("X-Model") + " " + std::to_string(event) + "\n\n";
+    const bool breaks = event == faults_.breaks_at_event;
+    call->send_text(breaks ? text.substr(0, text.size() / 2) : text);
+    constexpr std::chrono::milliseconds pace{10};
+    loop_.schedule(pace, [this, call, event, breaks] {
+        if (breaks) {
+            call->drop();
+            return;
+        }
+        stream(call, event + 1);
+    });
+}
+
+void runner_role::set_faults(const nlohmann::json& faults)
+{
+    take_field(faults, "sheds", faults_.sheds);
+    take_field(faults, "fails", faults_.fails);
+    take_field(faults, "loses_answers", faults_.loses_answers);
+    take_field(faults, "breaks_at_event", faults_.breaks_at_event);
+    take_field(faults, "late_ms", faults_.late);
+    take_field(faults, "confidence", faults_.confidence);
+    take_field(faults, "events", faults_.events);
+}
+
+std::unique_ptr<role> make_runner_role(event_loop& loop, const role_settings& settings)
+{
+    return std::make_unique<runner_role>(loop, settings);
+}
+
+} // namespace agatespar::standin
--- /dev/null
+++ b/tools/agatespar-standin/store_role.cpp
@@ -0,0 +1,233 @@
+// The users' platform's store: topics with conditions on appends, and the newest record of each key.
+#include "role.h"
+
+#include <glib.h>
+
+#include <list>
+#include <map>
+
+namespace agatespar::standin {
+
+namespace {
+
+struct topic {
+    /// Keys and values; an empty value drops the key.
+    std::vector<std::pair<std::string, std::string>> records;
+    std::uint64_t first{0};
+};
+
+/// A read that waits for a record.
+struct waiting_read {
+    std::shared_ptr<exchange> call;
+    std::string name;
+    std::uint64_t from{0};
+};
+
+class store_role final : public role {
+public:
+    explicit store_role(event_loop& loop) : loop_(loop) {}
+
+    void handle(const std::shared_ptr<exchange>& call) override;
+    void set_faults(const nlohmann::json& faults) override;
+    nlohmann::json counts() const override { return {{"reads", reads_}, {"appends", appends_}}; }
+
+private:
+    void append(const std::shared_ptr<exchange>& call);
+    void read(const std::shared_ptr<exchange>& call);
+    void newest(const std::shared_ptr<exchange>& call);
+    void put(const std::shared_ptr<exchange>& call);
+    void answer_waiting(const std::string& name);
+
+    event_loop& loop_;
+    std::map<std::string, topic> topics_;
+    std::list<waiting_read> waiting_;
+    bool down_{false};
+    bool lose_answers_{false};
+    std::uint64_t reads_{0};
+    std::uint64_t appends_{0};
+};
+
+} // namespace
+
+static std::string big_endian(std::uint64_t value, int bytes)
+{
+    std::string text;
+    for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+        text.push_back(static_cast<char>(value >> static_cast<unsigned>(shift) & 0xffU));
+    }
+    return text;
+}
+
+static std::uint64_t from_big_endian(std::string_view bytes)
+{
+    std::uint64_t value = 0;
+    for (const char byte : bytes) {
+        value = value << 8U | static_cast<unsigned char>(byte);
+    }
+    return value;
+}
+
+static std::string stretch_of(const topic& source, std::uint64_t from)
+{
+    std::string bytes = big_endian(source.records.size(), 8) + big_endian(source.first, 8);
+    for (std::uint64_t i = from; i < source.records.size(); ++i) {
+        const auto& [key, value] = source.records[i];
+        const std::string record = big_endian(key.size(), 1) + key + value;
+        bytes += big_endian(record.size(), 4) + record;
+    }
+    return bytes;
+}
+
+void store_role::handle(const std::shared_ptr<exchange>& call)
+{
+    if (call->path() == "/admin/put") {
+        put(call);
+        return;
+    }
+    if (down_) {
+        call->refuse(503, "down");
+        return;
+    }
+    if (call->path() == "/v1/log-append") {
+        append(call);
+    }
+    else if (call->path() == "/v1/log-read") {
+        read(call);
+    }
+    else if (call->path() == "/v1/log-newest") {
+        newest(call);
+    }
+    else {
+        call->refuse(404, "no such call");
+    }
+}
+
+/// The operator and the servers write through this, so that a test needs no framing.
+void store_role::put(const std::shared_ptr<exchange>& call)
+{
+    const auto document = nlohmann::json::parse(call->body());
+    const auto name = document.at("topic").get<std::string>();
+    const auto& value = document.at("value");
+    topics_[name].records.emplace_back(document.at("key").get<std::string>(), value.is_null() ? ""
+                                                                              : value.is_string()
+                                                                                  ? value.get<std::string>()
+                                                                                  : value.dump());
+    call->answer(200, {{"offset", topics_[name].records.size() - 1}});
+    answer_waiting(name);
+}
+
+void store_role::append(const std::shared_ptr<exchange>& call)
+{
+    ++appends_;
+    const std::string name = call->query_text("topic");
+    topic& target = topics_[name];
+    const std::uint64_t end = target.records.size();
+    if (call->query_number("at", end) != end) {
+        call->answer(412, {{"end", end}});
+        return;
+    }
+    const std::string body = call->body();
+    std::string_view rest = body;
+    while (rest.size() > 4) {
+        const std::string_view record = rest.substr(4, from_big_endian(rest.substr(0, 4)));
+        const std::size_t key_size = static_cast<unsigned char>(record.front());
+        target.records.emplace_back(record.substr(1, key_size), record.substr(1 + key_size));
+        rest.remove_prefix(4 + record.size());
+    }
+    if (lose_answers_) {
+        call->drop();
+    }
+    else {
+        call->answer(200, {{"offset", end}, {"end", target.records.size()}});
+    }
+    answer_waiting(name);
+}
+
+void store_role::read(const std::shared_ptr<exchange>& call)
+{
+    ++reads_;
+    const std::string name = call->query_text("topic");
+    const std::uint64_t from = call->query_number("from", 0);
+    const topic& source = topics_[name];
+    if (from < source.first) {
+        call->answer(410, {{"first", source.first}});
+        return;
+    }
+    const std::uint64_t wait_ms = call->query_number("wait_ms", 0);
+    if (from < source.records.size() || wait_ms == 0) {
+        call->answer_bytes(200, "application/octet-stream", stretch_of(source, from));
+        return;
+    }
+    waiting_.push_back({call, name, from});
+    loop_.schedule(std::chrono::milliseconds{wait_ms}, [this, held = std::weak_ptr<exchange>{call}] {
+        const auto found = std::find_if(waiting_.begin(), waiting_.end(),
+                                        [&held](const waiting_read& each) { return each.call == held.lock(); });
+        if (found != waiting_.end()) {
+            found->call->answer_bytes(200, "application/octet-stream", stretch_of(topics_[found->name], found->from));
+            waiting_.erase(found);
+        }
+    });
+}
+
+void store_role::answer_waiting(const std::string& name)
+{
+    for (auto each = waiting_.begin(); each != waiting_.end();) {
+        if (each->name == name) {
+            each->call->answer_bytes(200, "application/octet-stream", stretch_of(topics_[name], each->from));
+            each = waiting_.erase(each);
+        }
+        else {
+            ++each;
+        }
+    }
+}
+
+void store_role::newest(const std::shared_ptr<exchange>& call)
+{
+    ++reads_;
+    const std::string after = call->query_text("after");
+    const topic& source = topics_[call->query_text("topic")];
+    std::map<std::string, std::pair<std::uint64_t, std::string>> records;
+    for (std::uint64_t i = 0; i < source.records.size(); ++i) {
+        records[source.records[i].first] = {i, source.records[i].second};
+    }
+    // Small pages, so that a few records make several.
+    constexpr std::size_t page = 3;
+    nlohmann::json items = nlohmann::json::array();
+    bool more = false;
+    for (const auto& [key, record] : records) {
+        if (key <= after || record.second.empty()) {
+            continue;
+        }
+        if (items.size() == page) {
+            more = true;
+            break;
+        }
+        char* encoded = g_base64_encode(reinterpret_cast<const guchar*>(record.second.data()), record.second.size());
+        items.push_back({{"key", key}, {"value", encoded}, {"offset", record.first}});
+        g_free(encoded);
+    }
+    call->answer(200, {{"items", std::move(items)}, {"more_pages", more}, {"end", source.records.size()}});
+}
+
+void store_role::set_faults(const nlohmann::json& faults)
+{
+    take_field(faults, "down", down_);
+    take_field(faults, "lose_answers", lose_answers_);
+    if (faults.contains("forget")) {
+        topic& forgotten = topics_[faults.at("forget").get<std::string>()];
+        forgotten.first = forgotten.records.size();
+    }
+    if (down_) {
+        for (waiting_read& each : std::exchange(waiting_, {})) {
+            each.call->drop();
+        }
+    }
+}
+
+std::unique_ptr<role> make_store_role(event_loop& loop)
+{
+    return std::make_unique<store_role>(loop);
+}
+
+} // namespace agatespar::standin
--- a/unittests/entry/records_test.cpp
+++ b/unittests/entry/records_test.cpp
@@ -122,16 +122,18 @@
 
 SCENARIO("the settings file is read, and what is missing is named")
 {
-    const auto settings =
-        read_settings(R"({"node_name":"edge-1","ip":"10.1.0.40","zone":"osijek-a","listen":{"front":"10.1.0.40:8227",
+    const auto settings = read_settings(
+        R"({"metrics_port":9464,"fields":{"node_name":"edge-1","ip":"10.1.0.40","zone":"osijek-a","listen":{"front":"10.1.0.40:8227",
         "readiness":"10.1.0.40:8220"},"platform":{"address":"10.200.1.7:8223"},"bounds":{"grace_s":8,"retry_ratio":0.9,
-        "retry_slack":58},"novel":{"field":1}})");
+        "retry_slack":58},"novel":{"field":1}}})");
     REQUIRE(settings);
     CHECK(settings->gateway.vm_name == "edge-1");
     CHECK(settings->gateway.front_address == "10.1.0.40:8227");
     CHECK(settings->gateway.stop_time == 8s);
+    CHECK(settings->gateway.metrics_address == "10.1.0.40:9464");
     CHECK(settings->store_address == "10.200.1.7:8223");
-    const auto missing = read_settings(R"({"node_name":"edge-1","ip":"1","zone":"z","listen":{"front":"1"}})");
+    const auto missing = read_settings(
+        R"({"metrics_port":9464,"fields":{"node_name":"edge-1","ip":"1","zone":"z","listen":{"front":"1"}}})");
     REQUIRE(!missing);
     CHECK(missing.error().message.find("readiness") != std::string::npos);
     CHECK(!read_settings("node_name = \"edge\""));
