Leave silent servers early, avoid zones behind a cut, and count prompts that wait to be read

Now: a plain request that may run again does so after 0.8 of its goal; a stream's server that is silent for half of what the client bears is asked whether it lives; two servers of a zone that fail make the zone suspect for 1.5 s; a connection takes a quarter of the goal at most; and a VM's own unread prompts and the requests that a server says wait count as load.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -93,6 +93,7 @@
     std::mt19937_64 random_;
     metrics_registry metrics_;
     fleet_state fleet_;
+    zone_reach zones_;
     std::unique_ptr<topic_follower> orders_;
     std::unique_ptr<topic_follower> servers_;
     std::unique_ptr<topic_follower> reports_;
--- a/include/agatespar/gateway/protocol.h
+++ b/include/agatespar/gateway/protocol.h
@@ -74,6 +74,8 @@
 struct gateway_protocol {
     /// The answer's field that repeats the request's id.
     std::string id_header;
+    /// Path of a question that a living server answers at once, however busy it is.
+    std::string probe_target;
     /// @return malformed if a field that decides what may be done can't be read.
     outcome<request_facts> (*read_request)(const http_request_head& head);
     /// @return the head to send, with the client's own fields where they are the client's to set.
--- a/include/agatespar/gateway/server_choice.h
+++ b/include/agatespar/gateway/server_choice.h
@@ -13,6 +13,8 @@
     /// Running and waiting requests, estimated.
     std::uint32_t load{0};
     std::uint32_t slots{0};
+    /// Prompts that it has to read before a new one, in requests that would delay a new one as much.
+    double backlog{0};
     /// It failed lately.
     bool avoided{false};
     /// Rendezvous weight for the part of the prompt that the request shares with others; equal on all VMs.
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -20,10 +20,14 @@
     steady_time cold_until;
     /// Requests of this VM that are under way there.
     std::uint32_t in_flight{0};
+    /// Tokens of this VM's prompts there whose answers have not begun.
+    std::uint64_t unread_tokens{0};
     /// The server's last report of its load, what this VM had under way there then, and when that was.
     reported_load reported;
     std::uint32_t in_flight_at_report{0};
     steady_time reported_at;
+    /// When the last byte of any answer came from it.
+    steady_time last_heard;
     /// Failures in a row that speak against the server itself.
     std::uint32_t failures{0};
     /// Not chosen before this while others can be.
@@ -36,6 +40,9 @@
 /// @return running and waiting requests at a server, from its last report and what this VM did since.
 std::uint32_t estimated_load(const fleet_server& server);
 
+/// @return the prompts that the server has to read before a new one, in requests that would delay it as much.
+double estimated_backlog(const fleet_server& server, steady_time now);
+
 /// How this VM's knowledge of servers is kept.
 struct directory_settings {
     /// After the store's return, a server whose entry lapsed meanwhile is kept for this: the platform puts living
@@ -69,6 +76,26 @@
     std::optional<steady_time> store_back_at_;
 };
 
+/// Judges zones as a whole: when several of a zone's servers can't be reached, the others there are behind the same
+/// cut.
+class zone_reach {
+public:
+    /// A server could not be reached, or fell silent.
+    void note_unreachable(const fleet_server& server, steady_time now);
+    /// A server answered, so its zone can be reached.
+    void note_reached(const fleet_server& server);
+    /// @return whether to choose servers of other zones first.
+    bool is_avoided(const zone_name& zone, steady_time now) const;
+
+private:
+    struct zone_state {
+        /// Servers that failed since one of the zone last answered, and when.
+        std::map<server_name, steady_time> failed;
+    };
+
+    std::map<zone_name, zone_state> zones_;
+};
+
 /// Notes how an attempt at a server went.
 void note_answer(fleet_server& server, const answer_facts& facts, steady_time now);
 /// The server did not answer as a sound one does. It is avoided for a while that doubles with each failure in a row.
--- a/include/agatespar/gateway/service_map.h
+++ b/include/agatespar/gateway/service_map.h
@@ -50,6 +50,8 @@
     std::chrono::milliseconds timeout{0};
     /// The time within which an answer is worth most.
     std::chrono::milliseconds goal{0};
+    /// The longest pause between events with which a stream is still on time.
+    std::chrono::milliseconds gap_goal{0};
     /// Zero is the most important.
     int priority{0};
     std::vector<service_share> services;
--- /dev/null
+++ b/include/agatespar/gateway/silence.h
@@ -0,0 +1,37 @@
+// When a server that says nothing is no longer waited for.
+#pragma once
+
+#include <agatespar/gateway/service_map.h>
+#include <agatespar/support/clock.h>
+
+#include <optional>
+
+namespace agatespar {
+
+/// How a request that waits for its server stands.
+struct waiting_request {
+    const service_route* route{nullptr};
+    /// Its client has got the beginning of the answer.
+    bool answer_begun{false};
+    /// Since when nothing of this request has come: its sending, or the last piece.
+    steady_time since;
+    /// When the server last sent anything to this VM, for whichever request.
+    steady_time server_heard;
+};
+
+/// @return when to look again whether the request is still worth waiting for, or nothing if it must not be repeated.
+std::optional<steady_time> next_look(const waiting_request& request);
+
+/// What to do with a request at the time that next_look() told.
+enum class silence_verdict {
+    /// Wait on.
+    wait,
+    /// Ask the server whether it lives: a busy one makes its streams wait too.
+    probe,
+    /// Go on elsewhere. The answer of a plain request may be lost, though its server is well.
+    go_elsewhere,
+};
+
+silence_verdict judge_silence(const waiting_request& request, steady_time now);
+
+} // namespace agatespar
--- a/lib/gateway/server_choice.cpp
+++ b/lib/gateway/server_choice.cpp
@@ -8,7 +8,7 @@
 
 static double load_share(const server_option& option)
 {
-    return static_cast<double>(option.load) / std::max(1U, option.slots);
+    return (option.load + option.backlog) / std::max(1U, option.slots);
 }
 
 /// @return the options that are not avoided and have a free place; else those with a free place.
@@ -48,14 +48,15 @@
     double loads = 0;
     double slots = 0;
     for (const std::size_t i : usable) {
-        loads += options[i].load;
+        loads += options[i].load + options[i].backlog;
         slots += options[i].slots;
     }
     const double mean_share = loads / std::max(1.0, slots);
     std::optional<std::size_t> best;
     for (const std::size_t i : usable) {
         const double bound = settings.load_bound * mean_share * options[i].slots + settings.load_slack;
-        if (options[i].load <= bound && (!best || options[i].prompt_weight > options[*best].prompt_weight)) {
+        if (options[i].load + options[i].backlog <= bound &&
+            (!best || options[i].prompt_weight > options[*best].prompt_weight)) {
             best = i;
         }
     }
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -9,6 +9,15 @@
 // some seconds, and a single broken connection should cost little.
 static constexpr std::chrono::milliseconds first_avoidance{150};
 static constexpr std::uint32_t most_doublings = 4;
+// Servers of a zone that fail one after the other within this time make the zone suspect, and for this time after the
+// last failure: a cut lasts seconds, and a request now and then finds out that it is over.
+static constexpr std::chrono::milliseconds zone_memory{1500};
+static constexpr std::size_t suspect_servers = 2;
+// A running request delays a new one's first event by some ten milliseconds, as do this many tokens that are read.
+static constexpr double tokens_per_place = 2000;
+// A waiting request stands for a prompt of common length; a report says nothing of it after the time to read some.
+static constexpr double waiting_weight = 2;
+static constexpr std::chrono::milliseconds report_memory{1500};
 // A cold server takes one request at once, even at rates far below one a second.
 static constexpr double most_cold_tokens = 1;
 
@@ -19,6 +28,14 @@
     return others + server.in_flight;
 }
 
+double estimated_backlog(const fleet_server& server, steady_time now)
+{
+    const double own = static_cast<double>(server.unread_tokens) / tokens_per_place;
+    // Whoever waits at a server that does not lack places waits for prompts to be read.
+    const bool fresh = now - server.reported_at < report_memory;
+    return own + (fresh ? waiting_weight * server.reported.waiting : 0);
+}
+
 void server_directory::set(const server_record& record, steady_time now)
 {
     lapsing_.erase(record.name);
@@ -77,6 +94,28 @@
     return expired;
 }
 
+void zone_reach::note_unreachable(const fleet_server& server, steady_time now)
+{
+    auto& failed = zones_[server.record.zone].failed;
+    std::erase_if(failed, [now](const auto& entry) { return now - entry.second > zone_memory; });
+    failed[server.record.name] = now;
+}
+
+void zone_reach::note_reached(const fleet_server& server)
+{
+    zones_.erase(server.record.zone);
+}
+
+bool zone_reach::is_avoided(const zone_name& zone, steady_time now) const
+{
+    const auto found = zones_.find(zone);
+    if (found == zones_.end() || found->second.failed.size() < suspect_servers) {
+        return false;
+    }
+    const auto recent = [now](const auto& entry) { return now - entry.second <= zone_memory; };
+    return std::any_of(found->second.failed.begin(), found->second.failed.end(), recent);
+}
+
 void note_answer(fleet_server& server, const answer_facts& facts, steady_time now)
 {
     if (facts.load) {
--- /dev/null
+++ b/lib/gateway/silence.cpp
@@ -0,0 +1,50 @@
+// Bounds on a server's silence, taken from what the route's clients expect.
+#include <agatespar/gateway/silence.h>
+
+#include <algorithm>
+
+namespace agatespar {
+
+// A second try of a plain request has a fifth of the goal left, and its first one nearly all of it.
+static constexpr double plain_part = 0.8;
+// Plain answers vary by some ten milliseconds; below this a second try would only add load.
+static constexpr std::chrono::milliseconds least_plain{150};
+// Half of what a stream's client bears, so that the other half is left for the server that goes on.
+static constexpr double stream_part = 0.5;
+// For routes that set no goal.
+static constexpr std::chrono::milliseconds default_goal{1000};
+
+static duration allowed_silence(const waiting_request& request)
+{
+    const service_route& route = *request.route;
+    const auto part_of = [](std::chrono::milliseconds goal, double part) {
+        const auto time = goal.count() > 0 ? goal : default_goal;
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time) * part);
+    };
+    if (route.kind == request_kind::streaming) {
+        return part_of(request.answer_begun ? route.gap_goal : route.goal, stream_part);
+    }
+    return std::max<duration>(least_plain, part_of(route.goal, plain_part));
+}
+
+std::optional<steady_time> next_look(const waiting_request& request)
+{
+    if (!may_repeat(*request.route)) {
+        return std::nullopt;
+    }
+    return request.since + allowed_silence(request);
+}
+
+silence_verdict judge_silence(const waiting_request& request, steady_time now)
+{
+    if (!may_repeat(*request.route) || now < request.since + allowed_silence(request)) {
+        return silence_verdict::wait;
+    }
+    if (request.route->kind != request_kind::streaming) {
+        return silence_verdict::go_elsewhere;
+    }
+    const bool heard = now - request.server_heard < allowed_silence(request);
+    return heard ? silence_verdict::wait : silence_verdict::probe;
+}
+
+} // namespace agatespar
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -17,6 +17,13 @@
 static constexpr std::size_t most_unsent = 64 * 1024;
 // A server in another zone answers a connection in milliseconds; one that is lost or cut off never does.
 static constexpr std::chrono::milliseconds connect_time{400};
+static constexpr std::chrono::milliseconds least_connect_time{60};
+// Part of the route's goal that one connection may take, so that another server can still answer in time.
+static constexpr int connect_part = 4;
+// A living server answers a probe in some milliseconds; a lost packet would take it past this.
+static constexpr std::chrono::milliseconds probe_time{150};
+// A server that may have fallen silent is not looked at more often than this.
+static constexpr std::chrono::milliseconds least_look{100};
 // A try that would have less than this left is not worth making: no server answers faster.
 static constexpr std::chrono::milliseconds least_try{10};
 // Clients that are refused return spread over this time, so that they don't all meet the same full servers again.
@@ -142,7 +149,8 @@
     std::vector<server_option> options;
     options.reserve(servers.size());
     for (const auto& server : servers) {
-        options.push_back({estimated_load(*server), std::max(1U, server->record.slots), server->avoid_until > now,
+        options.push_back({estimated_load(*server), std::max(1U, server->record.slots), estimated_backlog(*server, now),
+                           server->avoid_until > now || owner_.zones_.is_avoided(server->record.zone, now),
                            combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
     }
     const auto chosen = choose_server(options, follow_prompt, owner_.settings_.choice, owner_.random_);
@@ -224,7 +232,8 @@
     request.address = server_->record.address;
     request.head = head;
     request.body = exchange_->body();
-    request.connect_time = std::min(connect_time, time_left());
+    const auto part_of_goal = route_->goal / connect_part;
+    request.connect_time = std::clamp(part_of_goal, least_connect_time, connect_time);
     request.may_reuse = may_repeat(*route_);
     request.id_header = owner_.protocol_.id_header;
     client_callbacks callbacks;
@@ -233,16 +242,132 @@
     callbacks.done = [self] { self->on_done(); };
     callbacks.failed = [self](const send_failure& failed) { self->on_failed(failed); };
     ++server_->in_flight;
+    unread_tokens_ = route_->has_prompts ? facts_.prompt_tokens.value() : 0;
+    server_->unread_tokens += unread_tokens_;
     auto started = owner_.pool_.start(request, std::move(callbacks));
     if (!started) {
         on_failed({send_state::not_sent, started.error().message});
         return;
     }
     call_ = std::move(*started);
+    last_piece_ = attempt_began_;
+    watch_silence();
+}
+
+waiting_request transparent_run::describe_waiting() const
+{
+    return {route_, answer_begun_, last_piece_, server_->last_heard};
+}
+
+void transparent_run::watch_silence()
+{
+    const auto look = next_look(describe_waiting());
+    if (!look) {
+        return;
+    }
+    const steady_time now = owner_.loop_.time().now();
+    // A server that was heard meanwhile is looked at again after a part of the time, not at once.
+    const duration delay = std::max<duration>(*look - now, least_look);
+    silence_timer_ = owner_.loop_.schedule(delay, [self = shared_from_this()] {
+        self->silence_timer_.reset();
+        self->on_silence_due();
+    });
+}
+
+void transparent_run::on_silence_due()
+{
+    const steady_time now = owner_.loop_.time().now();
+    if (ended_ || !call_) {
+        return;
+    }
+    switch (judge_silence(describe_waiting(), now)) {
+    case silence_verdict::wait:
+        watch_silence();
+        return;
+    case silence_verdict::probe:
+        probe_server();
+        return;
+    case silence_verdict::go_elsewhere:
+        give_server_up();
+        return;
+    }
+}
+
+/// Asks whether the server lives. No answer in time is as good as none.
+void transparent_run::probe_server()
+{
+    const auto self = shared_from_this();
+    client_request request;
+    request.key = server_->record.name.value();
+    request.address = server_->record.address;
+    request.head.method = "GET";
+    request.head.target = owner_.protocol_.probe_target;
+    request.head.headers = {{"Host", request.address}};
+    request.connect_time = probe_time;
+    request.may_reuse = false;
+    client_callbacks callbacks;
+    callbacks.head = [self](const http_answer_head&) {
+        if (self->server_) {
+            self->server_->last_heard = self->owner_.loop_.time().now();
+        }
+    };
+    callbacks.body = [](std::string_view) {};
+    callbacks.done = [] {};
+    callbacks.failed = [](const send_failure&) {};
+    const steady_time asked = owner_.loop_.time().now();
+    if (auto started = owner_.pool_.start(request, std::move(callbacks))) {
+        probe_ = std::move(*started);
+    }
+    silence_timer_ = owner_.loop_.schedule(probe_time, [self, asked] {
+        self->silence_timer_.reset();
+        self->probe_.reset();
+        if (self->ended_ || !self->call_) {
+            return;
+        }
+        if (self->server_->last_heard >= asked) {
+            self->watch_silence();
+        }
+        else {
+            self->give_server_up();
+        }
+    });
+}
+
+void transparent_run::give_server_up()
+{
+    const steady_time now = owner_.loop_.time().now();
+    // A run that nothing is known of counts as one that may have begun.
+    const int runs = runs_ + (head_.status == 0 ? 1 : 0);
+    if (runs >= route_->most_runs || sends_ >= most_sends) {
+        watch_silence();
+        return;
+    }
+    const progress before = progress_;
+    const int runs_before = std::exchange(runs_, runs);
+    progress_ = progress::may_have_run;
+    const auto server = server_;
+    if (!try_again(repeat_reason::failure, "the server was silent")) {
+        progress_ = before;
+        runs_ = runs_before;
+        watch_silence();
+        return;
+    }
+    if (server->last_heard < attempt_began_) {
+        note_failure(*server, now);
+        owner_.zones_.note_unreachable(*server, now);
+    }
 }
 
 void transparent_run::end_attempt(const char* outcome)
 {
+    if (silence_timer_) {
+        owner_.loop_.cancel(*silence_timer_);
+        silence_timer_.reset();
+    }
+    if (probe_) {
+        probe_->cancel();
+        probe_.reset();
+    }
     if (server_ && !report_.attempts.empty()) {
         attempt_report& attempt = report_.attempts.back();
         if (attempt.outcome.empty()) {
@@ -258,15 +383,27 @@
     if (server_) {
         assert(server_->in_flight > 0 && "an attempt is counted at its server");
         --server_->in_flight;
+        note_read();
         server_.reset();
     }
 }
 
+/// The server has begun to answer, or will not: the prompt no longer delays others there.
+void transparent_run::note_read()
+{
+    server_->unread_tokens -= std::exchange(unread_tokens_, 0);
+}
+
 void transparent_run::on_head(const http_answer_head& head)
 {
     const answer_facts facts = owner_.protocol_.read_answer(head);
     first_byte_ = owner_.loop_.time().now() - attempt_began_;
-    note_answer(*server_, facts, owner_.loop_.time().now());
+    const steady_time now = owner_.loop_.time().now();
+    note_answer(*server_, facts, now);
+    server_->last_heard = now;
+    last_piece_ = now;
+    owner_.zones_.note_reached(*server_);
+    note_read();
     if (facts.not_run) {
         on_not_run(facts);
         return;
@@ -321,6 +458,8 @@
     if (!call_) {
         return;
     }
+    last_piece_ = owner_.loop_.time().now();
+    server_->last_heard = last_piece_;
     if (!streams_) {
         body_.append(bytes);
         return;
@@ -362,6 +501,9 @@
 {
     note_failure(*server_, owner_.loop_.time().now());
     report_.attempts.back().outcome = failed.reason;
+    if (head_.status == 0) {
+        owner_.zones_.note_unreachable(*server_, owner_.loop_.time().now());
+    }
     if (failed.state == send_state::sent) {
         progress_ = progress::may_have_run;
         note_quality(false);
@@ -489,7 +631,7 @@
 void transparent_run::finish(int status, const char* reason)
 {
     ended_ = true;
-    for (auto* timer : {&deadline_timer_, &retry_timer_}) {
+    for (auto* timer : {&deadline_timer_, &retry_timer_, &silence_timer_}) {
         if (*timer) {
             owner_.loop_.cancel(**timer);
             timer->reset();
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -4,6 +4,7 @@
 #include <agatespar/gateway/event_splitter.h>
 #include <agatespar/gateway/gateway.h>
 #include <agatespar/gateway/run_report.h>
+#include <agatespar/gateway/silence.h>
 
 #include <memory>
 #include <optional>
@@ -33,12 +34,19 @@
     void send_attempt();
     std::shared_ptr<fleet_server> pick_server();
     attempt_facts describe_attempt(const fleet_server& server) const;
+    void note_read();
     void on_head(const http_answer_head& head);
     void on_body(std::string_view bytes);
     void on_done();
     void on_failed(const send_failure& failure);
     void on_not_run(const answer_facts& facts);
     void on_time_over();
+    waiting_request describe_waiting() const;
+    /// Looks after a while whether the server has fallen silent.
+    void watch_silence();
+    void on_silence_due();
+    void probe_server();
+    void give_server_up();
     void on_client_gone();
     bool drops_answer(const answer_facts& facts) const;
     void note_quality(bool good);
@@ -68,6 +76,9 @@
     steady_time deadline_;
     std::optional<timer_id> deadline_timer_;
     std::optional<timer_id> retry_timer_;
+    std::optional<timer_id> silence_timer_;
+    std::shared_ptr<client_call> probe_;
+    steady_time last_piece_;
     int sends_{0};
     int runs_{0};
     progress progress_{progress::nothing_ran};
@@ -76,6 +87,7 @@
     std::shared_ptr<fleet_server> server_;
     std::shared_ptr<client_call> call_;
     steady_time attempt_began_;
+    std::uint64_t unread_tokens_{0};
     duration first_byte_{0};
     run_report report_;
     http_answer_head head_;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -228,6 +228,18 @@
             self.assertEqual(status, 200)
             self.assertEqual(self.runs(identity), 1)
 
+    def test_a_server_that_falls_silent_is_left_for_another(self):
+        # Stopped, it keeps its connections and says nothing, like one behind a cut.
+        self.fleet.processes["calls-1"].pause()
+        self.fleet.processes["talk-1"].pause()
+        try:
+            for _ in range(4):
+                self.assertEqual(self.ask("safe")[1], 200)
+                self.assertEqual(self.ask("stream")[3], self.events("small"))
+        finally:
+            self.fleet.processes["calls-1"].resume()
+            self.fleet.processes["talk-1"].resume()
+
     def test_a_request_ends_with_its_time(self):
         self.on_all("calls", late_ms=60000)
         identity, status, _, _ = self.ask("unsafe", headers={"X-Deadline-Ms": "300"})
--- a/unittests/entry/records_test.cpp
+++ b/unittests/entry/records_test.cpp
@@ -32,6 +32,7 @@
     CHECK(route.resumable);
     CHECK(route.timeout == 15s);
     CHECK(route.goal == 2s);
+    CHECK(route.gap_goal == 1s);
     CHECK(route.most_runs == 3);
     CHECK(route.has_prompts);
     CHECK(route.ladder ==
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -83,7 +83,7 @@
 SCENARIO("requests with the same prompt meet at one server until its load passes the bound")
 {
     std::mt19937_64 random{3};
-    std::vector<server_option> options(4, {2, 10, false, 0});
+    std::vector<server_option> options(4, {2, 10, 0, false, 0});
     options[2].prompt_weight = 9;
     options[1].prompt_weight = 5;
     const choice_settings settings{1.25, 1};
@@ -103,7 +103,7 @@
         for (auto& option : options) {
             option.load = 10;
         }
-        options[2] = {0, 10, true, 9};
+        options[2] = {0, 10, 0, true, 9};
         CHECK(choose_server(options, true, settings, random) == 2U);
     }
     WHEN("every place is taken")
@@ -118,7 +118,7 @@
 SCENARIO("requests without a prompt spread over servers, by load")
 {
     std::mt19937_64 random{3};
-    std::vector<server_option> options(4, {0, 10, false, 0});
+    std::vector<server_option> options(4, {0, 10, 0, false, 0});
     options[0].load = 9;
     std::map<std::size_t, int> chosen;
     for (int i = 0; i < 1000; ++i) {
@@ -340,3 +340,56 @@
         CHECK(names() == "de");
     }
 }
+
+SCENARIO("a prompt that is being read keeps others from queueing behind it")
+{
+    // Pattern: long prompts of one subject arrive together, and their usual server would read one after the other.
+    std::mt19937_64 random{3};
+    manual_clock time;
+    fleet_server server;
+    server.unread_tokens = 50'000;
+    std::vector<server_option> options(4, {2, 48, 0, false, 0});
+    options[2].prompt_weight = 9;
+    options[1].prompt_weight = 5;
+    CHECK(choose_server(options, true, {}, random) == 2U);
+    options[2].backlog = estimated_backlog(server, time.now());
+    CHECK(choose_server(options, true, {}, random) == 1U);
+    WHEN("the server says that requests wait, that counts too, for a while")
+    {
+        server.unread_tokens = 0;
+        answer_facts facts;
+        facts.load = reported_load{3, 6, 48};
+        note_answer(server, facts, time.now());
+        CHECK(estimated_backlog(server, time.now()) > 4);
+        time.advance(2s);
+        CHECK(estimated_backlog(server, time.now()) == 0);
+    }
+}
+
+SCENARIO("a zone whose servers fail one after the other is avoided as a whole, until one of them answers")
+{
+    // Pattern: a zone is cut off, and each of its servers would cost a request its connection time.
+    manual_clock time;
+    zone_reach zones;
+    fleet_server first;
+    first.record = make_record("a");
+    fleet_server second;
+    second.record = make_record("b");
+    const zone_name zone{"z"};
+    zones.note_unreachable(first, time.now());
+    zones.note_unreachable(first, time.now());
+    CHECK(!zones.is_avoided(zone, time.now()));
+    zones.note_unreachable(second, time.now());
+    CHECK(zones.is_avoided(zone, time.now()));
+    CHECK(!zones.is_avoided(zone_name{"other"}, time.now()));
+    WHEN("one of them answers")
+    {
+        zones.note_reached(second);
+        CHECK(!zones.is_avoided(zone, time.now()));
+    }
+    WHEN("time passes, a request may find out whether the cut is over")
+    {
+        time.advance(2s);
+        CHECK(!zones.is_avoided(zone, time.now()));
+    }
+}
