--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -28,6 +28,8 @@
     steady_time reported_at;
     /// When the last byte of any answer came from it.
     steady_time last_heard;
+    /// When a probe of it last went unanswered.
+    steady_time probe_failed_at;
     /// Failures in a row that speak against the server itself.
     std::uint32_t failures{0};
     /// Not chosen before this while others can be.
--- a/include/agatespar/gateway/silence.h
+++ b/include/agatespar/gateway/silence.h
@@ -17,10 +17,13 @@
     steady_time since;
     /// When the server last sent anything to this VM, for whichever request.
     steady_time server_heard;
+    /// Other servers of its zone can't be reached, so its silence means more.
+    bool zone_suspected{false};
 };
 
-/// @return when to look again whether the request is still worth waiting for, or nothing if it must not be repeated.
-std::optional<steady_time> next_look(const waiting_request& request);
+/// @return how long from now to look again whether the request is still worth waiting for, or nothing if it must not
+/// be repeated.
+std::optional<duration> next_look(const waiting_request& request, steady_time now);
 
 /// What to do with a request at the time that next_look() told.
 enum class silence_verdict {
--- a/lib/gateway/silence.cpp
+++ b/lib/gateway/silence.cpp
@@ -11,6 +11,11 @@
 static constexpr std::chrono::milliseconds least_plain{150};
 // Half of what a stream's client bears, so that the other half is left for the server that goes on.
 static constexpr double stream_part = 0.5;
+// In a suspected zone: a few times what events of a busy server are apart.
+static constexpr std::chrono::milliseconds suspected_silence{300};
+// Streams are looked at this often at least, as their zone may become suspected meanwhile.
+static constexpr std::chrono::milliseconds longest_look{250};
+static constexpr std::chrono::milliseconds shortest_look{50};
 // For routes that set no goal.
 static constexpr std::chrono::milliseconds default_goal{1000};
 
@@ -22,17 +27,24 @@
         return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time) * part);
     };
     if (route.kind == request_kind::streaming) {
+        if (request.zone_suspected) {
+            return suspected_silence;
+        }
         return part_of(request.answer_begun ? route.gap_goal : route.goal, stream_part);
     }
     return std::max<duration>(least_plain, part_of(route.goal, plain_part));
 }
 
-std::optional<steady_time> next_look(const waiting_request& request)
+std::optional<duration> next_look(const waiting_request& request, steady_time now)
 {
     if (!may_repeat(*request.route)) {
         return std::nullopt;
     }
-    return request.since + allowed_silence(request);
+    const duration until = request.since + allowed_silence(request) - now;
+    if (request.route->kind != request_kind::streaming) {
+        return std::max<duration>(until, shortest_look);
+    }
+    return std::clamp<duration>(until, shortest_look, longest_look);
 }
 
 silence_verdict judge_silence(const waiting_request& request, steady_time now)
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -22,8 +22,8 @@
 static constexpr int connect_part = 4;
 // A living server answers a probe in some milliseconds; a lost packet would take it past this.
 static constexpr std::chrono::milliseconds probe_time{150};
-// A server that may have fallen silent is not looked at more often than this.
-static constexpr std::chrono::milliseconds least_look{100};
+// A probe that went unanswered holds for the other requests at the server for this long.
+static constexpr std::chrono::milliseconds probe_memory{500};
 // A try that would have less than this left is not worth making: no server answers faster.
 static constexpr std::chrono::milliseconds least_try{10};
 // Clients that are refused return spread over this time, so that they don't all meet the same full servers again.
@@ -256,19 +256,17 @@
 
 waiting_request transparent_run::describe_waiting() const
 {
-    return {route_, answer_begun_, last_piece_, server_->last_heard};
+    const bool suspected = owner_.zones_.is_avoided(server_->record.zone, owner_.loop_.time().now());
+    return {route_, answer_begun_, last_piece_, server_->last_heard, suspected};
 }
 
 void transparent_run::watch_silence()
 {
-    const auto look = next_look(describe_waiting());
-    if (!look) {
+    const auto delay = next_look(describe_waiting(), owner_.loop_.time().now());
+    if (!delay) {
         return;
     }
-    const steady_time now = owner_.loop_.time().now();
-    // A server that was heard meanwhile is looked at again after a part of the time, not at once.
-    const duration delay = std::max<duration>(*look - now, least_look);
-    silence_timer_ = owner_.loop_.schedule(delay, [self = shared_from_this()] {
+    silence_timer_ = owner_.loop_.schedule(*delay, [self = shared_from_this()] {
         self->silence_timer_.reset();
         self->on_silence_due();
     });
@@ -288,7 +286,7 @@
         probe_server();
         return;
     case silence_verdict::go_elsewhere:
-        give_server_up();
+        give_server_up(true);
         return;
     }
 }
@@ -297,6 +295,11 @@
 void transparent_run::probe_server()
 {
     const auto self = shared_from_this();
+    const steady_time asked = owner_.loop_.time().now();
+    if (asked - server_->probe_failed_at < probe_memory && server_->last_heard < server_->probe_failed_at) {
+        give_server_up(false);
+        return;
+    }
     client_request request;
     request.key = server_->record.name.value();
     request.address = server_->record.address;
@@ -314,7 +317,6 @@
     callbacks.body = [](std::string_view) {};
     callbacks.done = [] {};
     callbacks.failed = [](const send_failure&) {};
-    const steady_time asked = owner_.loop_.time().now();
     if (auto started = owner_.pool_.start(request, std::move(callbacks))) {
         probe_ = std::move(*started);
     }
@@ -328,16 +330,19 @@
             self->watch_silence();
         }
         else {
-            self->give_server_up();
+            self->server_->probe_failed_at = self->owner_.loop_.time().now();
+            self->give_server_up(false);
         }
     });
 }
 
-void transparent_run::give_server_up()
+/// @param lives the server may be at work on the request, so its run counts; one that is cut off or gone does not.
+void transparent_run::give_server_up(bool lives)
 {
     const steady_time now = owner_.loop_.time().now();
     // A run that nothing is known of counts as one that may have begun.
-    const int runs = runs_ + (head_.status == 0 ? 1 : 0);
+    const bool begun = head_.status != 0;
+    const int runs = lives ? runs_ + (begun ? 0 : 1) : runs_ - (begun ? 1 : 0);
     if (runs >= route_->most_runs || sends_ >= most_sends) {
         watch_silence();
         return;
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -46,7 +46,7 @@
     void watch_silence();
     void on_silence_due();
     void probe_server();
-    void give_server_up();
+    void give_server_up(bool lives);
     void on_client_gone();
     bool drops_answer(const answer_facts& facts) const;
     void note_quality(bool good);
--- a/unittests/gateway/silence_test.cpp
+++ b/unittests/gateway/silence_test.cpp
@@ -13,7 +13,7 @@
     route.kind = request_kind::safe;
     route.goal = 300ms;
     waiting_request request{&route, false, time.now(), time.now()};
-    CHECK(next_look(request) == time.now() + 240ms);
+    CHECK(next_look(request, time.now()) == 240ms);
     CHECK(judge_silence(request, time.now() + 239ms) == silence_verdict::wait);
     // Its answer may be lost though the server talks to others.
     request.server_heard = time.now() + 239ms;
@@ -21,18 +21,18 @@
     WHEN("the goal is short, answers that are merely slow are waited for")
     {
         route.goal = 100ms;
-        CHECK(next_look(request) == time.now() + 150ms);
+        CHECK(next_look(request, time.now()) == 150ms);
     }
     WHEN("it may run once only")
     {
         route.kind = request_kind::unsafe;
-        CHECK(!next_look(request));
+        CHECK(!next_look(request, time.now()));
         CHECK(judge_silence(request, time.now() + 10s) == silence_verdict::wait);
     }
     WHEN("it is a stream that can't be resumed")
     {
         route.kind = request_kind::streaming;
-        CHECK(!next_look(request));
+        CHECK(!next_look(request, time.now()));
     }
 }
 
@@ -55,6 +55,13 @@
         CHECK(judge_silence(request, start + 1s) == silence_verdict::wait);
         CHECK(judge_silence(request, start + 1501ms) == silence_verdict::probe);
     }
+    WHEN("other servers of its zone can't be reached, it is asked soon")
+    {
+        CHECK(next_look(request, start) == 250ms);
+        request.zone_suspected = true;
+        CHECK(judge_silence(request, start + 299ms) == silence_verdict::wait);
+        CHECK(judge_silence(request, start + 300ms) == silence_verdict::probe);
+    }
     WHEN("events were coming, the pause that clients bear counts")
     {
         request.answer_begun = true;
