Let a stream go on at the new version when the old servers stop

A stream that began on the old version during a roll-out kept that choice for its whole life; at 'complete' the old servers stop at once, and its resumption found no server. The choice is now confirmed before each attempt.

--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -20,7 +20,7 @@
     double exposed_share{0.06};
     /// The version is taken as good this share of its time before its deadline; the requests of that time count as
     /// exposed too.
-    double finish_share{0.07};
+    double finish_share{0.04};
     /// No later than this before the deadline, so that writing the report has time when the store is slow.
     std::chrono::milliseconds least_finish{1200};
     /// VMs report one after the other within this time, so that mostly one does.
@@ -61,6 +61,8 @@
 
     /// @param draw uniform in [0, 1), for requests without a session.
     version_choice choose(double draw, std::optional<session_hash> session, steady_time now);
+    /// @return what holds now for a request that was given a choice before: once the roll-out is over, its end.
+    version_choice confirm(version_choice chosen) const;
     /// Notes an answer. @param group answers of one group take similar times, e.g. a route and model.
     void note_answer(bool by_target, const std::string& group, bool good, duration first_byte);
     /// Takes in what another VM saw.
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -50,6 +50,19 @@
     return session && staying_.contains(*session) ? version_choice::others_only : version_choice::prefer_target;
 }
 
+version_choice rollout_watch::confirm(version_choice chosen) const
+{
+    switch (state_) {
+    case rollout_state::complete:
+        return version_choice::target_only;
+    case rollout_state::reverted:
+        return version_choice::others_only;
+    case rollout_state::in_progress:
+        return chosen;
+    }
+    return chosen;
+}
+
 void rollout_watch::note_answer(bool by_target, const std::string& group, bool good, duration first_byte)
 {
     if (state_ != rollout_state::in_progress) {
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -133,10 +133,11 @@
     server_need need;
     need.service = &service_;
     need.model = model_ ? model_ : facts_.model;
-    need.version = version_;
     need.tried = tried_;
-    const rollout_watch* watch = owner_.fleet_.rollout_of(service_);
-    need.target = watch != nullptr ? &watch->order().target : nullptr;
+    if (const rollout_watch* watch = owner_.fleet_.rollout_of(service_)) {
+        need.version = watch->confirm(version_);
+        need.target = &watch->order().target;
+    }
     auto servers = eligible_servers(owner_.fleet_, need, now);
     if (servers.empty() && need.version == version_choice::prefer_target) {
         need.version = version_choice::others_only;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -292,6 +292,24 @@
         self.assertEqual(len(self.fleet.counts("calls-3")["runs"]), before + 4)
 
 
+    def test_a_stream_goes_on_at_the_new_version_when_the_old_servers_stop(self):
+        self.start_server("talk", "talk-3", version="v2")
+        self.on_all("talk", events=400)
+        self.put("keyed.op", "rollout/talk", {"backend": "talk", "target": "v2", "duration_s": 2})
+        wait_until(lambda: self.lines("vm-1", "rollout_ordered"), "the order")
+        # So soon after the order every request still goes to the old version.
+        work = Background(lambda: self.ask("stream"))
+        wait_until(lambda: any(self.fleet.counts(name)["runs"] for name in self.servers), "the stream")
+        wait_until(lambda: self.lines("vm-1", "rollout_reported"), "the report")
+        for name in ("talk-1", "talk-2"):
+            self.fleet.processes[name].kill()
+            self.put("keyed.servers", name, None)
+            del self.servers[name]
+        identity, status, _, text = work.wait()
+        self.assertEqual((status, text), (200, self.events("small", last=400)))
+        self.assertEqual(self.runs(identity), 1)
+
+
 class WhenVMsStop(GatewayCase):
     def test_a_planned_stop_cuts_nothing(self):
         self.on_all("talk", events=150)
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -139,6 +139,8 @@
         here.take_report({order.service, order.target, rollout_state::complete});
         CHECK(here.choose(0, low, time.now()) == version_choice::target_only);
         CHECK(here.choose(0.99, std::nullopt, time.now()) == version_choice::target_only);
+        // A stream that began on the old version has to go on where there are servers.
+        CHECK(here.confirm(version_choice::others_only) == version_choice::target_only);
         AND_WHEN("a late report of another VM says otherwise, the first one holds")
         {
             here.take_report({order.service, order.target, rollout_state::reverted});
@@ -150,9 +152,11 @@
         here.take_report({order.service, order.target, rollout_state::reverted});
         CHECK(here.choose(0, other, time.now()) == version_choice::others_only);
         CHECK(!here.next_report(time.now()));
+        CHECK(here.confirm(version_choice::prefer_target) == version_choice::others_only);
     }
     WHEN("the report is about an older order")
     {
+        CHECK(here.confirm(version_choice::prefer_target) == version_choice::prefer_target);
         here.take_report({order.service, version_name{"v0"}, rollout_state::reverted});
         CHECK(here.state() == rollout_state::in_progress);
     }
