Tell a server that left from an entry that lapsed with the store

A VM that the store had turned away for 8 s read of a server's leaving and took it for a lapse during an outage, so the server got requests for 2.5 s more. An outage of the store for all makes the entries of all servers lapse, and nothing else is written in it; now the grace ends with the first record that the store took, and holds only if a quarter of the servers are gone. Two cases of the unit test fail first.

--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -18,6 +18,8 @@
 // A waiting request stands for a prompt of common length; a report says nothing of it after the time to read some.
 static constexpr double waiting_weight = 2;
 static constexpr std::chrono::milliseconds report_memory{1500};
+// One in this many servers must have gone at once for an outage to explain it.
+static constexpr std::size_t lapsed_part = 4;
 // A cold server takes one request at once, even at rates far below one a second.
 static constexpr double most_cold_tokens = 1;
 
@@ -39,6 +41,9 @@
 void server_directory::set(const server_record& record, steady_time now)
 {
     lapsing_.erase(record.name);
+    // A store that took this had not just come back from an outage of its own, or its outage is over for all: what is
+    // removed from here on has left.
+    store_back_at_.reset();
     auto& known = servers_[record.name];
     const bool same = known && known->record.born == record.born && known->record.address == record.address &&
                       known->record.service == record.service;
@@ -79,8 +84,10 @@
 std::vector<server_name> server_directory::expire(steady_time now)
 {
     std::vector<server_name> expired;
+    // An outage makes the entries of all servers lapse; a few that went have left while only this VM was turned away.
+    const bool many = lapsing_.size() * lapsed_part >= servers_.size();
     for (const auto& [name, until] : lapsing_) {
-        if (until <= now) {
+        if (until <= now || !many) {
             expired.push_back(name);
         }
     }
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -235,7 +235,8 @@
     request.body = exchange_->body();
     const auto part_of_goal = route_->goal / connect_part;
     request.connect_time = std::clamp(part_of_goal, least_connect_time, connect_time);
-    request.may_reuse = may_repeat(*route_);
+    // After a failure all kept connections are in doubt: a new one proves that nothing was sent if it fails too.
+    request.may_reuse = may_repeat(*route_) && sends_ == 1;
     request.id_header = owner_.protocol_.id_header;
     client_callbacks callbacks;
     callbacks.head = [self](const http_answer_head& answer) { self->on_head(answer); };
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -179,6 +179,27 @@
             CHECK(directory.all().empty());
         }
     }
+    WHEN("only this VM was turned away, and the store took other records meanwhile")
+    {
+        // Pattern: a server leaves without notice while some VMs can't reach the store, which others can.
+        directory.note_store_lost(time.now());
+        time.advance(4s);
+        directory.note_store_back(time.now());
+        directory.set(make_record("newcomer"), time.now());
+        directory.remove(name, time.now());
+        CHECK(directory.all().size() == 1);
+    }
+    WHEN("one of many is gone after an outage, it has left; others would have lapsed with it")
+    {
+        for (const char* other : {"a", "b", "c", "d", "e"}) {
+            directory.set(make_record(other), time.now());
+        }
+        directory.note_store_lost(time.now());
+        time.advance(4s);
+        directory.note_store_back(time.now());
+        directory.remove(name, time.now());
+        CHECK(directory.expire(time.now()) == std::vector<server_name>{name});
+    }
     WHEN("the store only hesitated, too short for any entry to lapse")
     {
         // Pattern: one read fails, and a server leaves without notice right after it.
