Read a topic so that no record falls between two reads

A VM that started while the store was slow stayed on version 76 for 14 s. Two causes were looked at. The other one: a read sent while the store was slow was not answered when a record came 0.3 s after it. Reads now wait for a second only after records came or while the store is slow, and long again after a calm one.

Both have a unit test on the manual loop; without the change the case of the slow store fails.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -90,7 +90,6 @@
 struct newest_page {
     std::vector<keyed_record> records;
     bool more{false};
-    std::uint64_t end{0};
 };
 
 /// A stretch of a topic.
@@ -99,6 +98,8 @@
     std::uint64_t end{0};
     /// The requested records are gone; the newest of each key must be read again.
     bool lost{false};
+    /// The first record that is still there, if `lost`.
+    std::uint64_t first{0};
 };
 
 /// How an append ended.
--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -16,6 +16,11 @@
     fleet_topic topic{fleet_topic::operator_orders};
     /// How long the store may hold a read until there is something new.
     std::chrono::milliseconds wait{std::chrono::seconds{30}};
+    /// The same for a read that follows another one's records, or comes while the store is slow: a slow store may hold
+    /// a read although a record came right after it, until the read ends.
+    std::chrono::milliseconds careful_wait{1000};
+    /// A store that answers later than this after the wait is slow. Its usual time is some milliseconds.
+    std::chrono::milliseconds slow_answer{100};
     /// Between an answered read and the next, so that records which come one by one share a call.
     std::chrono::milliseconds pause{0};
 };
@@ -50,6 +55,7 @@
     void take_page(const newest_page& page, bool first);
     void finish_newest();
     void read_on();
+    std::chrono::milliseconds next_wait() const;
     void take_stretch(const log_stretch& stretch);
     void tell(const keyed_record& record);
     void note_reachable(bool reachable, const std::string& reason);
@@ -63,7 +69,11 @@
     bool complete_{false};
     bool reachable_{true};
     std::uint64_t next_{0};
+    /// Records before it are known to be gone.
+    std::uint64_t first_kept_{0};
     int failures_{0};
+    /// The last read came back empty and at once after its wait.
+    bool calm_{false};
     std::unordered_map<std::string, std::uint64_t> told_;
     std::unordered_set<std::string> seen_;
     std::optional<timer_id> timer_;
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -70,8 +70,12 @@
 {
     if (first) {
         seen_.clear();
-        // Pages are no snapshot; the log from the first page's end on tells what changed meanwhile.
-        next_ = page.end;
+        // Pages are no snapshot, and the end that the store tells with one may be later than its records: what changed
+        // meanwhile stands in the log after the last record of the first page.
+        next_ = first_kept_;
+        for (const keyed_record& record : page.records) {
+            next_ = std::max(next_, record.offset + 1);
+        }
     }
     for (const keyed_record& record : page.records) {
         seen_.insert(record.key);
@@ -103,27 +107,41 @@
     read_on();
 }
 
+std::chrono::milliseconds topic_follower::next_wait() const
+{
+    if (!reachable_) {
+        // Answered at once, so that the store's return is noticed.
+        return std::chrono::milliseconds{0};
+    }
+    return calm_ ? settings_.wait : settings_.careful_wait;
+}
+
 void topic_follower::read_on()
 {
-    // After a failure the store is asked to answer at once, so that its return is noticed.
-    const auto wait = reachable_ ? settings_.wait : std::chrono::milliseconds{0};
-    store_.read_from(settings_.topic, next_, wait, [this, self = self_](const outcome<log_stretch>& stretch) {
-        if (*self == nullptr) {
-            return;
-        }
-        if (!stretch) {
-            note_reachable(false, stretch.error().message);
-            retry([this] { read_on(); });
-            return;
-        }
-        note_reachable(true, {});
-        take_stretch(*stretch);
-    });
+    const auto wait = next_wait();
+    const steady_time asked = loop_.time().now();
+    store_.read_from(settings_.topic, next_, wait,
+                     [this, self = self_, wait, asked](const outcome<log_stretch>& stretch) {
+                         if (*self == nullptr) {
+                             return;
+                         }
+                         if (!stretch) {
+                             note_reachable(false, stretch.error().message);
+                             calm_ = false;
+                             retry([this] { read_on(); });
+                             return;
+                         }
+                         const bool slow = loop_.time().now() - asked > wait + settings_.slow_answer;
+                         calm_ = stretch->records.empty() && !stretch->lost && !slow && wait.count() > 0;
+                         note_reachable(true, {});
+                         take_stretch(*stretch);
+                     });
 }
 
 void topic_follower::take_stretch(const log_stretch& stretch)
 {
     if (stretch.lost) {
+        first_kept_ = std::max(first_kept_, stretch.first);
         read_newest({});
         return;
     }
--- a/unittests/entry/store_test.cpp
+++ b/unittests/entry/store_test.cpp
@@ -88,6 +88,11 @@
         const auto read = test.read("410 Gone", R"({"first":900})");
         REQUIRE(read);
         CHECK(read->lost);
+        CHECK(read->first == 900);
+    }
+    WHEN("the history is gone, and the store does not say what is left")
+    {
+        CHECK(!test.read("410 Gone", GENERATE("", "{}", R"({"first":"x"})", R"({"first":-1})")));
     }
     WHEN("the answer is no such stretch")
     {
@@ -120,7 +125,7 @@
     REQUIRE(*result);
     CHECK((*result)->records.at(0).value == "{}");
     CHECK((*result)->more);
-    CHECK((*result)->end == 6);
+    CHECK((*result)->records.at(0).offset == 4);
 }
 
 SCENARIO("an append tells apart what was written, what was not, and what nobody knows")
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -22,6 +22,10 @@
     int calls{0};
     std::vector<std::chrono::milliseconds> waits;
     std::function<void()> held_read;
+    int held_count{0};
+    duration latency{0};
+    /// The store does not wake the reads that wait.
+    bool deaf{false};
     std::function<void()> after_first_page;
 
     fake_topic()
@@ -42,7 +46,13 @@
                      const fleet_store::callback<log_stretch>& callback)
     {
         if (!down && from >= log.size() && wait > 0ms) {
+            const int read = ++held_count;
             held_read = [this, from, callback] { answer_read(from, 0ms, callback); };
+            loop.schedule(wait + latency, [this, read] {
+                if (held_read && held_count == read) {
+                    std::exchange(held_read, nullptr)();
+                }
+            });
             return;
         }
         loop.schedule(1ms, [this, from, callback] { callback(stretch(from)); });
@@ -57,7 +67,6 @@
             newest[log[i].key] = {log[i].key, log[i].value, i};
         }
         newest_page page;
-        page.end = log.size();
         for (const auto& [key, record] : newest) {
             if (!record.value || key <= after) {
                 continue;
@@ -80,6 +89,7 @@
         }
         log_stretch read;
         read.lost = from < first;
+        read.first = first;
         for (std::uint64_t i = from; i < log.size() && !read.lost; ++i) {
             read.records.push_back({log[i].key, log[i].value, i});
         }
@@ -89,7 +99,7 @@
     void write(const std::string& key, std::optional<std::string> value)
     {
         log.push_back({key, std::move(value), 0});
-        if (held_read) {
+        if (held_read && !deaf) {
             std::exchange(held_read, nullptr)();
         }
     }
@@ -124,6 +134,14 @@
 
 } // namespace
 
+static follower_settings follow(fleet_topic topic)
+{
+    follower_settings settings;
+    settings.topic = topic;
+    settings.wait = 30s;
+    return settings;
+}
+
 SCENARIO("a follower learns the newest records, then each change once")
 {
     fake_topic topic;
@@ -132,7 +150,7 @@
     }
     topic.write("b", std::nullopt);
     told seen;
-    topic_follower follower{topic.loop, topic.store, {fleet_topic::servers, 30s, 0ms}, seen.callbacks()};
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
     follower.start();
     WHEN("a record changes between two pages")
     {
@@ -161,6 +179,7 @@
 
     WHEN("nothing changes, one call waits at the store")
     {
+        topic.loop.advance(1500ms);
         const int calls = topic.calls;
         topic.loop.advance(20s);
         CHECK(topic.calls == calls);
@@ -181,12 +200,68 @@
     }
 }
 
+SCENARIO("a record that is written while the first page is on its way is not missed")
+{
+    // Pattern: a VM starts while the store is slow, and the operator writes at that moment. The store's answer holds
+    // the records of before and tells the end of after.
+    fake_topic topic;
+    topic.page_size = 10;
+    topic.write("config", "1");
+    topic.after_first_page = [&topic] { topic.write("config", "2"); };
+    told seen;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::operator_orders), seen.callbacks()};
+    follower.start();
+    topic.loop.advance(1s);
+    CHECK(seen.values == strings{{"config", "2"}});
+}
+
+SCENARIO("a slow store that holds a read in spite of a new record is asked again soon")
+{
+    // Pattern: a VM reads while the store is slow, and the operator writes right after; the read is not woken.
+    fake_topic topic;
+    topic.write("config", "1");
+    topic.latency = 240ms;
+    told seen;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::operator_orders), seen.callbacks()};
+    follower.start();
+    topic.loop.advance(200ms);
+    topic.deaf = true;
+    topic.write("config", "2");
+    topic.loop.advance(1500ms);
+    CHECK(seen.values == strings{{"config", "2"}});
+    WHEN("it stays slow, no read is left to wait for long")
+    {
+        topic.loop.advance(10s);
+        topic.write("config", "3");
+        topic.loop.advance(1500ms);
+        CHECK(seen.values == strings{{"config", "3"}});
+    }
+}
+
+SCENARIO("a follower starts on a topic whose old records are gone and whose keys were all dropped")
+{
+    fake_topic topic;
+    topic.write("a", "1");
+    topic.write("a", std::nullopt);
+    topic.first = 2;
+    told seen;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
+    follower.start();
+    topic.loop.advance(2s);
+    const int calls = topic.calls;
+    topic.loop.advance(20s);
+    CHECK(topic.calls == calls);
+    topic.write("b", "1");
+    topic.loop.advance(100ms);
+    CHECK(seen.values == strings{{"b", "1"}});
+}
+
 SCENARIO("a follower notices the store's return at once, also when nothing has changed")
 {
     fake_topic topic;
     topic.write("a", "1");
     told seen;
-    topic_follower follower{topic.loop, topic.store, {fleet_topic::servers, 30s, 0ms}, seen.callbacks()};
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
     follower.start();
     topic.loop.advance(100ms);
     topic.down = true;
@@ -200,6 +275,7 @@
     topic.down = false;
     topic.loop.advance(1100ms);
     CHECK(seen.reachable);
+    topic.loop.advance(1100ms);
     CHECK(topic.waits.back() == 30s);
     CHECK(seen.lines == std::vector<std::string>{"a=1"});
 }
@@ -210,7 +286,7 @@
     topic.write("a", "1");
     topic.down = true;
     told seen;
-    topic_follower follower{topic.loop, topic.store, {fleet_topic::servers, 30s, 0ms}, seen.callbacks()};
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
     follower.start();
     topic.loop.advance(5s);
     CHECK(!seen.complete);
@@ -225,7 +301,7 @@
     fake_topic topic;
     told seen;
     {
-        topic_follower follower{topic.loop, topic.store, {fleet_topic::servers, 30s, 0ms}, seen.callbacks()};
+        topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
         follower.start();
     }
     topic.loop.advance(1s);
