--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -180,8 +180,9 @@
     attempt.candidates = candidates;
     attempt.load = estimated_load(server);
     attempt.slots = server.record.slots;
-    attempt.load_age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(told ? now - server.reported_at : now - now);
+    if (told) {
+        attempt.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - server.reported_at);
+    }
     attempt.time_left = time_left();
     report_.attempts.push_back(std::move(attempt));
 }
--- a/tools/agatespar-standin/store_role.cpp
+++ b/tools/agatespar-standin/store_role.cpp
@@ -72,8 +72,8 @@
     std::string bytes = big_endian(source.records.size(), 8) + big_endian(source.first, 8);
     for (std::uint64_t i = from; i < source.records.size(); ++i) {
         const auto& [key, value] = source.records[i];
-        const std::string record = big_endian(key.size(), 1) + key + value;
-        bytes += big_endian(record.size(), 4) + record;
+        const std::size_t size = 1 + key.size() + value.size();
+        bytes.append(big_endian(size, 4)).append(big_endian(key.size(), 1)).append(key).append(value);
     }
     return bytes;
 }
