--- a/tools/agatesparctl/agatesparctl_test.py
+++ b/tools/agatesparctl/agatesparctl_test.py
@@ -157,5 +157,54 @@
         self.assertTrue(all(report["changes_in_between"] for report in losers))
 
 
+class FollowingARequest(unittest.TestCase):
+    """One id through the collected logs of several VMs."""
+
+    def setUp(self):
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.paths = [os.path.join(folder, name) for name in ("vm-1.log", "vm-2.log")]
+        lines = {
+            0: [
+                ("00:00:01.000", "store_lost", {"topic": "servers", "reason": "the connection broke"}),
+                ("00:00:02.000", "server_leaving", {"server": "i-1", "service": "talk"}),
+                ("00:00:02.500", "server_leaving", {"server": "i-9", "service": "talk"}),
+                ("00:00:03.000", "request_ended", {"request": "r-1", "outcome": "failed", "status": 502,
+                                                   "reason": "no server answered", "attempts":
+                                                   "i-1 v1 load 0/8 age 5 of 2 left 900: the connection broke 3 ms"}),
+                ("00:00:04.000", "server_ready", {"server": "i-1", "service": "talk"}),
+            ],
+            1: [("00:00:02.700", "server_ready", {"server": "i-1", "service": "talk"})],
+        }
+        for number, path in enumerate(self.paths):
+            with open(path, "w", encoding="utf-8") as file:
+                file.write("a line that is no JSON\n  12.5 vm {broken\n")
+                for time, event, fields in lines[number]:
+                    line = {"time": f"2026-12-04T{time}Z", "source": f"vm-{number + 1}", "event": event, **fields}
+                    file.write("  0.1 vm " + json.dumps(line) + "\n")
+
+    def test_shows_the_request_and_what_its_vm_had_learned(self):
+        code, output, _ = run("trace", "r-1", *self.paths)
+        self.assertEqual(code, OK)
+        self.assertIn("vm-1: failed, status 502, no server answered", output)
+        self.assertIn("attempt: i-1 v1 load 0/8 age 5 of 2 left 900: the connection broke 3 ms", output)
+        self.assertIn("store_lost", output)
+        self.assertEqual(output.count("server_leaving"), 1)
+        self.assertNotIn("server_ready", output)
+
+    def test_prints_json_for_scripts(self):
+        code, output, _ = run("--json", "trace", "r-1", *self.paths)
+        self.assertEqual(code, OK)
+        found = json.loads(output)
+        self.assertEqual([line["event"] for line in found[0]["learned"]], ["store_lost", "server_leaving"])
+
+    def test_says_when_there_is_nothing_to_follow(self):
+        code, _, problem = run("trace", "r-2", *self.paths)
+        self.assertEqual(code, REFUSED)
+        self.assertIn("no line tells of request r-2", problem)
+        code, _, problem = run("trace", "r-1", "nowhere.log")
+        self.assertEqual(code, USAGE)
+        self.assertIn("nowhere.log", problem)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/agatesparctl/commands.h
+++ b/tools/agatesparctl/commands.h
@@ -33,5 +33,7 @@
 void run_daemon_query(const tool_context& context, exit_callback done);
 /// Prints the billed totals.
 void run_usage(const tool_context& context, exit_callback done);
+/// Follows one request through log files. @return refused if no line tells of it, usage if a file can't be read.
+exit_code run_trace(const tool_options& options);
 
 } // namespace agatespar
--- a/tools/agatesparctl/main.cpp
+++ b/tools/agatesparctl/main.cpp
@@ -42,6 +42,9 @@
     case command::usage:
         run_usage(context, done);
         return;
+    case command::trace:
+        done(run_trace(context.options));
+        return;
     }
 }
 
--- a/tools/agatesparctl/options.cpp
+++ b/tools/agatesparctl/options.cpp
@@ -23,6 +23,7 @@
   agatesparctl [options] withdraw <version>
   agatesparctl [options] status
   agatesparctl [options] explain <request>
+  agatesparctl [options] trace <request> <file>...
   agatesparctl [options] usage
   agatesparctl --help
   agatesparctl --version
@@ -39,6 +40,8 @@
   withdraw         Withdraw a version FLEET/MODEL@VERSION.
   status           Print the state of one VM.
   explain          Print how a request was decided.
+  trace            Print what collected logs of VMs tell of a request: its line, and what was learned of the
+                   servers that it was sent to and of the store, around that time on the same VM.
   usage            Print what is billed to each client account.
 
 Options:
@@ -130,7 +133,8 @@
         {"diff", command::config_diff}, {"check", command::config_check},
         {"drain", command::zone_drain}, {"return", command::zone_return},
         {"rollout", command::rollout},  {"withdraw", command::withdraw},
-        {"explain", command::explain},  {"usage", command::usage}};
+        {"explain", command::explain},  {"usage", command::usage},
+        {"trace", command::trace}};
     for (const auto& [word, what] : words) {
         if (given(word)) {
             return what;
@@ -145,7 +149,8 @@
     if (asks_daemon && options.daemon_url.empty()) {
         throw bad_setting{"--daemon (AGATESPAR_DAEMON_URL): is needed by this command"};
     }
-    if (!asks_daemon && options.what != command::config_check && options.log_url.empty()) {
+    const bool works_on_files = options.what == command::config_check || options.what == command::trace;
+    if (!asks_daemon && !works_on_files && options.log_url.empty()) {
         throw bad_setting{"--log (AGATESPAR_LOG_URL): is needed by this command"};
     }
 }
--- a/tools/agatesparctl/options.h
+++ b/tools/agatesparctl/options.h
@@ -34,6 +34,7 @@
     status,
     explain,
     usage,
+    trace,
 };
 
 /// What the operator asked for.
