Let reports of load fade

A server that reported to be full was not asked again, and so never reported anything else. What a report tells of others now fades over 4 s. The case of the unit test fails without it by construction: the load stayed 5.

--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -39,8 +39,9 @@
     steady_time cold_refilled;
 };
 
-/// @return running and waiting requests at a server, from its last report and what this VM did since.
-std::uint32_t estimated_load(const fleet_server& server);
+/// @return running and waiting requests at a server, from its last report and what this VM did since. What the report
+/// tells of others counts less the older it is: a server that was full once is not asked, and so never reports again.
+std::uint32_t estimated_load(const fleet_server& server, steady_time now);
 
 /// @return the prompts that the server has to read before a new one, in requests that would delay it as much.
 double estimated_backlog(const fleet_server& server, steady_time now);
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -13,6 +13,8 @@
 // last failure: a cut lasts seconds, and a request now and then finds out that it is over.
 static constexpr std::chrono::milliseconds zone_memory{1500};
 static constexpr std::size_t suspect_servers = 2;
+// In this time most requests that a report counted have ended: streams last some seconds.
+static constexpr std::chrono::seconds load_memory{4};
 // A running request delays a new one's first event by some ten milliseconds, as do this many tokens that are read.
 static constexpr double tokens_per_place = 2000;
 // A waiting request stands for a prompt of common length; a report says nothing of it after the time to read some.
@@ -23,11 +25,12 @@
 // A cold server takes one request at once, even at rates far below one a second.
 static constexpr double most_cold_tokens = 1;
 
-std::uint32_t estimated_load(const fleet_server& server)
+std::uint32_t estimated_load(const fleet_server& server, steady_time now)
 {
     const std::uint32_t reported = server.reported.running + server.reported.waiting;
     const std::uint32_t others = reported > server.in_flight_at_report ? reported - server.in_flight_at_report : 0;
-    return others + server.in_flight;
+    const double age = std::chrono::duration<double>(now - server.reported_at) / load_memory;
+    return static_cast<std::uint32_t>(others * std::clamp(1 - age, 0.0, 1.0)) + server.in_flight;
 }
 
 double estimated_backlog(const fleet_server& server, steady_time now)
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -150,7 +150,8 @@
     std::vector<server_option> options;
     options.reserve(servers.size());
     for (const auto& server : servers) {
-        options.push_back({estimated_load(*server), std::max(1U, server->record.slots), estimated_backlog(*server, now),
+        options.push_back({estimated_load(*server, now), std::max(1U, server->record.slots),
+                           estimated_backlog(*server, now),
                            server->avoid_until > now || owner_.zones_.is_avoided(server->record.zone, now),
                            combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
     }
@@ -178,7 +179,7 @@
     attempt.version = server.record.version;
     attempt.model = model_ ? model_->value() : "";
     attempt.candidates = candidates;
-    attempt.load = estimated_load(server);
+    attempt.load = estimated_load(server, now);
     attempt.slots = server.record.slots;
     if (told) {
         attempt.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - server.reported_at);
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -242,17 +242,26 @@
 
 SCENARIO("a server's load is its last report and what this VM did since")
 {
+    manual_clock time;
     fleet_server server;
     server.in_flight = 2;
-    CHECK(estimated_load(server) == 2);
+    CHECK(estimated_load(server, time.now()) == 2);
     answer_facts facts;
     facts.load = reported_load{6, 1, 8};
-    note_answer(server, facts, {});
-    CHECK(estimated_load(server) == 7);
+    note_answer(server, facts, time.now());
+    CHECK(estimated_load(server, time.now()) == 7);
     server.in_flight = 4;
-    CHECK(estimated_load(server) == 9);
+    CHECK(estimated_load(server, time.now()) == 9);
     server.in_flight = 0;
-    CHECK(estimated_load(server) == 5);
+    CHECK(estimated_load(server, time.now()) == 5);
+    WHEN("the report grows old, it counts less: a server that was full is asked again")
+    {
+        // Pattern: all servers of a small service report that they are full once, and are then never asked.
+        time.advance(2s);
+        CHECK(estimated_load(server, time.now()) == 2);
+        time.advance(10s);
+        CHECK(estimated_load(server, time.now()) == 0);
+    }
 }
 
 SCENARIO("a failing server is avoided for longer each time, and trusted again after an answer")
