Keep more answers of the small model while the largest one is late

The bound on the small model's own opinion now falls from 60 to 0 as first events of the largest model come at 0.5 to 1.2 of the goal.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <agatespar/gateway/fleet_state.h>
+#include <agatespar/gateway/model_pressure.h>
 #include <agatespar/gateway/protocol.h>
 #include <agatespar/gateway/repeat_budget.h>
 #include <agatespar/gateway/server_choice.h>
@@ -99,6 +100,7 @@
     std::unique_ptr<topic_follower> reports_;
     std::unique_ptr<topic_follower> evidence_;
     std::map<service_name, repeat_budget> budgets_;
+    std::map<service_name, model_pressure> pressures_;
     bool writing_report_{false};
     bool stopping_{false};
     std::optional<timer_id> tick_timer_;
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -29,8 +29,6 @@
 // Clients that are refused return spread over this time, so that they don't all meet the same full servers again.
 static constexpr std::chrono::milliseconds earliest_return{300};
 static constexpr std::chrono::milliseconds latest_return{900};
-// A smaller model's answer is kept from this opinion of its own on.
-static constexpr int kept_confidence = 60;
 // Waits of route without a limit of its own.
 static constexpr std::chrono::milliseconds default_timeout{30'000};
 
@@ -377,6 +375,9 @@
         probe_->cancel();
         probe_.reset();
     }
+    if (server_ && head_.status == 0) {
+        note_pressure(owner_.loop_.time().now() - attempt_began_);
+    }
     if (server_ && !report_.attempts.empty()) {
         attempt_report& attempt = report_.attempts.back();
         if (attempt.outcome.empty()) {
@@ -420,6 +421,7 @@
     ++runs_;
     progress_ = progress::may_have_run;
     head_ = head;
+    note_pressure(first_byte_);
     const bool success = head.status >= first_success && head.status < first_redirect;
     if (!success) {
         note_quality(false);
@@ -454,12 +456,20 @@
     }
 }
 
+void transparent_run::note_pressure(duration first_event)
+{
+    if (model_ && *model_ == route_->ladder.back()) {
+        owner_.pressures_[service_].note(first_event, route_->goal, owner_.loop_.time().now());
+    }
+}
+
 bool transparent_run::drops_answer(const answer_facts& facts) const
 {
     if (answer_begun_ || !model_ || ladder_step_ + 1 >= route_->ladder.size() || !facts.confidence) {
         return false;
     }
-    return *facts.confidence < kept_confidence && may_run_again();
+    const double kept = owner_.pressures_[service_].kept_confidence(owner_.loop_.time().now());
+    return *facts.confidence < kept && may_run_again();
 }
 
 void transparent_run::on_body(std::string_view bytes)
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -48,6 +48,8 @@
     void probe_server();
     void give_server_up(bool lives);
     void on_client_gone();
+    /// Notes how long the largest model's first event took, or was waited for.
+    void note_pressure(duration first_event);
     bool drops_answer(const answer_facts& facts) const;
     void note_quality(bool good);
 
