--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -29,6 +29,9 @@
 // Clients that are refused return spread over this time, so that they don't all meet the same full servers again.
 static constexpr std::chrono::milliseconds earliest_return{300};
 static constexpr std::chrono::milliseconds latest_return{900};
+// A larger model is asked only while this part of the goal is left: it takes some three times as long as the smallest
+// one, and a client's last try may have little time.
+static constexpr int cascade_part = 2;
 // Waits of route without a limit of its own.
 static constexpr std::chrono::milliseconds default_timeout{30'000};
 
@@ -468,6 +471,9 @@
     if (answer_begun_ || !model_ || ladder_step_ + 1 >= route_->ladder.size() || !facts.confidence) {
         return false;
     }
+    if (time_left() < route_->goal / cascade_part) {
+        return false;
+    }
     const double kept = owner_.pressures_[service_].kept_confidence(owner_.loop_.time().now());
     return *facts.confidence < kept && may_run_again();
 }
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -153,6 +153,12 @@
         self.assertEqual((status, text), (200, self.events("large")))
         self.assertEqual(self.runs(identity), 2)
 
+    def test_with_little_time_left_the_small_model_s_answer_is_kept(self):
+        self.on_all("talk", confidence=20)
+        identity, status, headers, text = self.ask("stream", headers={"X-Deadline-Ms": "900"})
+        self.assertEqual((status, text), (200, self.events("small")))
+        self.assertEqual(self.runs(identity), 1)
+
     def test_what_the_configuration_does_not_know_is_refused_and_runs_nowhere(self):
         for kind, key, expected in (("nowhere", KEY, 404), ("safe", "key-of-nobody", 401)):
             identity, status, _, _ = self.ask(kind, key=key)
