--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -44,6 +44,16 @@
     bool ends_with_connection{false};
 };
 
+/// @return whether a status says that the request succeeded, or that the server failed (RFC 9110, section 15).
+constexpr bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+constexpr bool is_server_failure(int status)
+{
+    return status >= 500;
+}
+
 /// @return whether a field concerns one connection only: those that RFC 9110 section 7.6.1 names, those that the
 /// message's own Connection field lists, and the framing, which each side of the router writes anew.
 bool is_hop_by_hop(const http_headers& headers, std::string_view name);
--- a/lib/gateway/run_report.cpp
+++ b/lib/gateway/run_report.cpp
@@ -4,9 +4,6 @@
 
 namespace agatespar {
 
-static constexpr int first_success = 200;
-static constexpr int first_redirect = 300;
-static constexpr int first_server_failure = 500;
 static constexpr int status_too_many = 429;
 static constexpr int status_unavailable = 503;
 static constexpr std::string_view client_left = "the client left";
@@ -16,13 +13,13 @@
     if (report.status == 0) {
         return report.reason == client_left ? "left" : "broken";
     }
-    if (report.status >= first_success && report.status < first_redirect) {
+    if (is_success(report.status)) {
         return report.goal.count() > 0 && report.first_byte > report.goal ? "late" : "answered";
     }
     if (report.status == status_unavailable || report.status == status_too_many) {
         return "refused";
     }
-    return report.status >= first_server_failure ? "failed" : "rejected";
+    return is_server_failure(report.status) ? "failed" : "rejected";
 }
 
 static std::string_view name_of(request_kind kind)
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -13,6 +13,11 @@
 
 namespace agatespar {
 
+/// Sends of one request, servers that refused it or could not be reached included. Runs are bounded by the route.
+inline constexpr int most_sends = 5;
+/// A try that would have less than this left is not worth making: no server answers faster.
+inline constexpr std::chrono::milliseconds least_try{10};
+
 class transparent_run : public std::enable_shared_from_this<transparent_run> {
 public:
     transparent_run(gateway& owner, std::shared_ptr<server_exchange> exchange);
