--- a/tools/agatespard/agatespard.cpp
+++ b/tools/agatespard/agatespard.cpp
@@ -59,6 +59,7 @@
     };
     if (has("--help") || has("-h")) {
         std::fputs(agatespar::settings_help().c_str(), stdout);
+        std::puts("\nOn the users' platform: agatespard --gateway, without other flags; see docs/OPERATORS.md.");
         return 0;
     }
     if (has("--version")) {
