Report a roll-out complete only when a server of the new version is known

Cause: the VM reads the servers' topic each 500 ms, and reports completion 200 to 800 ms after an order of 2 s. When it came to report it did not know the new version's only server yet; the platform stops the old ones at that report. Ruled out: the route's time (8 s, the test took 4.4 s), the repeat budget (no repeat was refused), a silent server.

Now a VM reports completion only if it knows a server of the new version that takes requests.

--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -69,8 +69,10 @@
     void take_evidence(const rollout_evidence& evidence);
     /// @return what this VM saw, if the others should be told now.
     std::optional<rollout_evidence> next_evidence(steady_time now);
+    /// @param target_serves whether this VM knows a server of the new version that takes requests. Without one the
+    /// roll-out is not complete: the old servers would stop, and nothing would be left.
     /// @return the report that this VM should write now, if any.
-    std::optional<rollout_report> next_report(steady_time now);
+    std::optional<rollout_report> next_report(steady_time now, bool target_serves);
     /// @return the guard's reasons, for logs.
     const guard_verdict& verdict() const { return guard_.verdict(); }
 
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -70,6 +70,8 @@
     std::vector<server_name> expire(steady_time now);
 
     const std::map<server_name, std::shared_ptr<fleet_server>>& all() const { return servers_; }
+    /// @return whether a server of this service and version takes requests.
+    bool serves(const service_name& service, const version_name& version) const;
 
 private:
     directory_settings settings_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -221,7 +221,8 @@
         return;
     }
     for (auto& [service, watch] : fleet_.rollouts()) {
-        const auto report = watch.next_report(loop_.time().now());
+        const bool target_serves = fleet_.directory().serves(service, watch.order().target);
+        const auto report = watch.next_report(loop_.time().now(), target_serves);
         if (!report) {
             continue;
         }
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -126,7 +126,7 @@
     return evidence;
 }
 
-std::optional<rollout_report> rollout_watch::next_report(steady_time now)
+std::optional<rollout_report> rollout_watch::next_report(steady_time now, bool target_serves)
 {
     if (state_ != rollout_state::in_progress) {
         return std::nullopt;
@@ -137,7 +137,7 @@
     const auto share_of_time =
         std::chrono::duration_cast<std::chrono::milliseconds>(order_.time * settings_.finish_share);
     const auto finish_time = std::max(settings_.least_finish, share_of_time) + settings_.report_spread;
-    if (now - started_ >= order_.time - finish_time + own_delay_) {
+    if (target_serves && now - started_ >= order_.time - finish_time + own_delay_) {
         return rollout_report{order_.service, order_.target, rollout_state::complete};
     }
     return std::nullopt;
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -104,6 +104,14 @@
     return expired;
 }
 
+bool server_directory::serves(const service_name& service, const version_name& version) const
+{
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+        const server_record& record = entry.second->record;
+        return record.service == service && record.version == version && !record.leaving;
+    });
+}
+
 void zone_reach::note_unreachable(const fleet_server& server, steady_time now)
 {
     auto& failed = zones_[server.record.zone].failed;
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -143,6 +143,24 @@
     return record;
 }
 
+SCENARIO("a version serves while one of its servers takes requests")
+{
+    server_directory directory;
+    server_record record;
+    record.name = server_name{"i-1"};
+    record.service = service_name{"one"};
+    record.version = version_name{"v2"};
+    const steady_time now{1h};
+    CHECK(!directory.serves(record.service, record.version));
+    directory.set(record, now);
+    CHECK(directory.serves(record.service, record.version));
+    CHECK(!directory.serves(record.service, version_name{"v1"}));
+    CHECK(!directory.serves(service_name{"two"}, record.version));
+    record.leaving = true;
+    directory.set(record, now);
+    CHECK(!directory.serves(record.service, record.version));
+}
+
 SCENARIO("a server's entry goes away")
 {
     manual_clock time;
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -50,7 +50,7 @@
                     other.take_evidence(*read_evidence(*record.value));
                 }
             }
-            if (const auto next = vm.next_report(time.now()); next && !report) {
+            if (const auto next = vm.next_report(time.now(), true); next && !report) {
                 report = next;
             }
         }
@@ -74,6 +74,20 @@
     CHECK(before + left < 0.15);
 }
 
+SCENARIO("a version that no known server runs is not complete, as the old servers would stop")
+{
+    manual_clock time;
+    rollout_watch watch{order, {}, 1, {}, time.now()};
+    time.advance(24s);
+    CHECK(!watch.next_report(time.now(), false));
+    WHEN("its servers become known")
+    {
+        const auto report = watch.next_report(time.now(), true);
+        REQUIRE(report);
+        CHECK(report->state == rollout_state::complete);
+    }
+}
+
 SCENARIO("a bad version is reverted long before its fiftieth bad answer is five seconds old")
 {
     const double bad = GENERATE(1.0, 0.5, 0.35);
@@ -151,7 +165,7 @@
     {
         here.take_report({order.service, order.target, rollout_state::reverted});
         CHECK(here.choose(0, other, time.now()) == version_choice::others_only);
-        CHECK(!here.next_report(time.now()));
+        CHECK(!here.next_report(time.now(), true));
         CHECK(here.confirm(version_choice::prefer_target) == version_choice::others_only);
     }
     WHEN("the report is about an older order")
