Tell when an attempt's server was last heard, and copy no text for lines that are shed

The write-up of a late answer on OPERATIONS.md lacked when the server was last heard; attempts now tell it. Fields of a log line own no text any more, so that a line of a changed belief costs nothing if the budget sheds it, as requests' lines did already.

--- a/include/agatespar/gateway/run_report.h
+++ b/include/agatespar/gateway/run_report.h
@@ -5,6 +5,7 @@
 #include <agatespar/support/clock.h>
 #include <agatespar/telemetry/metrics.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,8 @@
     std::uint32_t slots{0};
     /// Since the server last told its load.
     std::chrono::milliseconds load_age{0};
+    /// Since this VM last heard anything of the server; none if it never did.
+    std::optional<std::chrono::milliseconds> heard_age;
     std::chrono::milliseconds time_left{0};
     std::chrono::milliseconds took{0};
     /// "answered", or why it ended otherwise.
@@ -48,7 +51,8 @@
 /// How a request ended, for counters: "answered", "late", "refused", "failed", "rejected", "broken" or "left".
 std::string_view outcome_of(const run_report& report);
 
-/// @return the attempts in a line's compact form, e.g. "i-1 v1 m0 load 3/48 age 120 of 17 left 2000: answered 70 ms".
+/// @return the attempts in a line's compact form, e.g. "i-1 v1 m0 load 3/48 age 120 heard 80 of 17 left 2000: answered
+/// 70 ms".
 std::string describe_attempts(const std::vector<attempt_report>& attempts);
 
 /// Counts the request and writes its line, an ordinary one if it was answered in time.
--- a/include/agatespar/telemetry/log.h
+++ b/include/agatespar/telemetry/log.h
@@ -21,25 +21,27 @@
     error,
 };
 
-using log_value = std::variant<bool, std::int64_t, std::uint64_t, double, std::string>;
+using log_value = std::variant<bool, std::int64_t, std::uint64_t, double, std::string_view>;
 
-/// One key and value of a log line.
+/// One key and value of a log line. Only views its text, so that a line which is dropped costs no copies: it is to be
+/// used within the call that it is written in.
 struct log_field {
     log_field(std::string_view field_name, bool field_value) : name(field_name), value(field_value) {}
     log_field(std::string_view field_name, int field_value) : name(field_name), value(std::int64_t{field_value}) {}
     log_field(std::string_view field_name, std::int64_t field_value) : name(field_name), value(field_value) {}
     log_field(std::string_view field_name, std::uint64_t field_value) : name(field_name), value(field_value) {}
     log_field(std::string_view field_name, double field_value) : name(field_name), value(field_value) {}
-    log_field(std::string_view field_name, std::string field_value) : name(field_name), value(std::move(field_value)) {}
-    log_field(std::string_view field_name, std::string_view field_value)
-        : name(field_name), value(std::string{field_value})
+    log_field(std::string_view field_name, std::string_view field_value) : name(field_name), value(field_value) {}
+    log_field(std::string_view field_name, const std::string& field_value)
+        : name(field_name), value(std::string_view{field_value})
     {
     }
-    log_field(std::string_view field_name, const char* field_value) : name(field_name), value(std::string{field_value})
+    log_field(std::string_view field_name, const char* field_value)
+        : name(field_name), value(std::string_view{field_value})
     {
     }
 
-    std::string name;
+    std::string_view name;
     log_value value;
 };
 
--- a/lib/gateway/run_report.cpp
+++ b/lib/gateway/run_report.cpp
@@ -44,6 +44,7 @@
         text += attempt.model.empty() ? "" : " " + attempt.model;
         text += " load " + std::to_string(attempt.load) + "/" + std::to_string(attempt.slots);
         text += " age " + std::to_string(attempt.load_age.count());
+        text += " heard " + (attempt.heard_age ? std::to_string(attempt.heard_age->count()) : "never");
         text += " of " + std::to_string(attempt.candidates);
         text += " left " + std::to_string(attempt.time_left.count());
         text += ": " + attempt.outcome + " " + std::to_string(attempt.took.count()) + " ms";
--- a/lib/gateway/transparent_run_send.cpp
+++ b/lib/gateway/transparent_run_send.cpp
@@ -61,7 +61,9 @@
 void transparent_run::note_attempt(const fleet_server& server, std::size_t candidates)
 {
     const steady_time now = owner_.loop_.time().now();
-    const bool told = server.reported_at != steady_time{};
+    const auto age_of = [now](steady_time at) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(now - at);
+    };
     attempt_report attempt;
     attempt.server = server.record.name;
     attempt.version = server.record.version;
@@ -69,8 +71,11 @@
     attempt.candidates = candidates;
     attempt.load = estimated_load(server, now);
     attempt.slots = server.record.slots;
-    if (told) {
-        attempt.load_age = std::chrono::duration_cast<std::chrono::milliseconds>(now - server.reported_at);
+    if (server.reported_at != steady_time{}) {
+        attempt.load_age = age_of(server.reported_at);
+    }
+    if (server.last_heard != steady_time{}) {
+        attempt.heard_age = age_of(server.last_heard);
     }
     attempt.time_left = time_left();
     report_.attempts.push_back(std::move(attempt));
--- a/lib/telemetry/log.cpp
+++ b/lib/telemetry/log.cpp
@@ -138,8 +138,9 @@
     line["source"] = current.settings.source;
     line["event"] = event;
     for (const log_field& field : fields) {
-        assert(!line.contains(field.name) && "a field's name is not taken yet");
-        std::visit([&line, &field](const auto& value) { line[field.name] = value; }, field.value);
+        const std::string name{field.name};
+        assert(!line.contains(name) && "a field's name is not taken yet");
+        std::visit([&line, &name](const auto& value) { line[name] = value; }, field.value);
     }
     boost::log::record_ostream stream{record};
     stream << line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
--- /dev/null
+++ b/unittests/gateway/run_report_test.cpp
@@ -0,0 +1,31 @@
+// Tests of what a request's line tells of its attempts.
+#include <agatespar/gateway/run_report.h>
+
+#include <catch2/catch.hpp>
+
+using namespace agatespar;
+using namespace std::chrono_literals;
+
+SCENARIO("a line tells what decided each attempt, and how old that was")
+{
+    attempt_report first;
+    first.server = server_name{"i-1"};
+    first.version = version_name{"v1"};
+    first.model = "m0";
+    first.candidates = 17;
+    first.load = 3;
+    first.slots = 48;
+    first.load_age = 120ms;
+    first.heard_age = 80ms;
+    first.time_left = 2s;
+    first.took = 70ms;
+    first.outcome = "the server was silent";
+    attempt_report second = first;
+    second.server = server_name{"i-2"};
+    second.model.clear();
+    second.heard_age.reset();
+    second.outcome = "answered";
+    CHECK(describe_attempts({first, second}) ==
+          "i-1 v1 m0 load 3/48 age 120 heard 80 of 17 left 2000: the server was silent 70 ms; "
+          "i-2 v1 load 3/48 age 120 heard never of 17 left 2000: answered 70 ms");
+}
