Let a few VMs read the store and pass its records on to the others

Cause: each VM followed every topic of the store for itself. And a VM that the store turned away learned nothing from its neighbours.

VMs list themselves in a topic of the store, with a secret that seals their frames (nng, msgpack, libsodium: the parts that the product has). One in 32 and one more read the store, chosen alike by all from that list, VMs with fast links first and zones in turn. The others ask two of them each 0.4 s; the first sends news as they come. A reader reads orders each second, so that one which lost the store is known within 1.3 s; a VM without fresh news for 0.9 s reads the store itself, as before. Nothing rests on VMs agreeing who reads: a VM also reads when it is asked. The shares of cold servers and repeats are now divided by the listed VMs, a quarter more, where these are more than 16 (they were divided by 16 on 83 VMs).

Tried on the way: readers on slow links (10 Mbit/s), which sent whole lists and fell behind by 0.9 s.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -119,7 +119,10 @@
     reports,
     /// The system's own: what VMs saw of roll-outs.
     evidence,
+    /// The system's own: which VMs there are, and the secret that they share.
+    vms,
 };
+inline constexpr std::size_t fleet_topics = 5;
 
 /// The calls of the platform's store that the gateway needs.
 struct fleet_store {
--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -4,6 +4,7 @@
 #include <agatespar/gateway/fleet_state.h>
 #include <agatespar/gateway/model_pressure.h>
 #include <agatespar/gateway/protocol.h>
+#include <agatespar/gateway/record_relay.h>
 #include <agatespar/gateway/repeat_budget.h>
 #include <agatespar/gateway/server_choice.h>
 #include <agatespar/gateway/topic_follower.h>
@@ -33,13 +34,22 @@
     std::string metrics_path;
     /// From the order to stop to the end of the process, at most.
     std::chrono::milliseconds stop_time{8000};
+    /// How long the store holds a read of its orders: with an answer each second, VMs that this one passes records on
+    /// to know soon that it has lost the store.
+    std::chrono::milliseconds order_wait{1000};
     /// Between reads of the servers' topic, whose records come one by one.
     std::chrono::milliseconds server_pause{500};
     /// Between reads of what VMs saw of a roll-out, so that their records share a call.
     std::chrono::milliseconds evidence_pause{250};
-    /// VMs among which what all may do together is divided. Above the number that a deployment grows to, as VMs that
-    /// can't hear each other must stay below the bound too.
-    double assumed_vms{16};
+    /// "ip:port" where this VM takes messages of other VMs.
+    std::string peer_address;
+    /// Of its network link, in megabits a second, and its part of a core.
+    double link_mbps{0};
+    double cpu_share{0};
+    /// VMs among which what all may do together is divided, at least: a VM does not know of others that just came.
+    double least_vms{16};
+    /// With more VMs listed than that, their number times this.
+    double vm_margin{1.25};
     repeat_settings repeats;
     choice_settings choice;
     rollout_settings rollouts;
@@ -52,9 +62,11 @@
     /// Listens and starts to follow the store. @return why an address can't be used.
     static outcome<std::unique_ptr<gateway>> open(event_loop& loop, const gateway_settings& settings,
                                                   const gateway_protocol& protocol, const fleet_store& store,
-                                                  connection_pool& pool, std::function<void()> on_stopped);
+                                                  connection_pool& pool, const peer_link_opener& open_link,
+                                                  std::function<void()> on_stopped);
     gateway(event_loop& loop, const gateway_settings& settings, const gateway_protocol& protocol,
-            const fleet_store& store, connection_pool& pool, std::function<void()> on_stopped);
+            const fleet_store& store, connection_pool& pool, const peer_link_opener& open_link,
+            std::function<void()> on_stopped);
     gateway(const gateway&) = delete;
     gateway& operator=(const gateway&) = delete;
     ~gateway();
@@ -72,7 +84,9 @@
 private:
     friend class transparent_run;
 
-    void start_followers();
+    void make_followers(const peer_link_opener& open_link);
+    std::unique_ptr<topic_follower> make_follower(const follower_settings& settings, const char* name,
+                                                  std::function<void(const keyed_record&)> changed);
     void answer_readiness(const std::shared_ptr<server_exchange>& exchange) const;
     void answer_metrics(const std::shared_ptr<server_exchange>& exchange);
     void refresh_metrics();
@@ -84,6 +98,8 @@
     void write_evidence_rows();
     void end_when_idle(steady_time until);
     repeat_budget& budget_of(const service_name& service);
+    /// @return VMs among which what all may do together is divided.
+    double assumed_vms() const;
 
     event_loop& loop_;
     gateway_settings settings_;
@@ -99,6 +115,8 @@
     std::unique_ptr<topic_follower> servers_;
     std::unique_ptr<topic_follower> reports_;
     std::unique_ptr<topic_follower> evidence_;
+    std::unique_ptr<topic_follower> vms_;
+    std::unique_ptr<record_relay> relay_;
     std::map<service_name, repeat_budget> budgets_;
     std::map<service_name, model_pressure> pressures_;
     bool writing_report_{false};
--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -5,6 +5,7 @@
 #include <agatespar/kernel/event_loop.h>
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <string>
 #include <unordered_map>
@@ -43,17 +44,41 @@
     topic_follower& operator=(const topic_follower&) = delete;
     ~topic_follower();
 
-    void start() { read_newest({}); }
+    /// Reads from the store, or leaves it to others to pass its records on. A read that is under way goes on.
+    void set_reading(bool reading);
     /// @return whether the topic has been read whole since the start.
     bool is_complete() const { return complete_; }
     bool is_reachable() const { return reachable_; }
+    /// @return whether nothing before end() is missing.
+    bool is_whole() const { return whole_; }
     /// @return the offset after the last record that was told.
     std::uint64_t end() const { return next_; }
+    /// @return when the store last answered a read.
+    steady_time answered_at() const { return answered_at_; }
+
+    /// @return all changes from an offset on, or nothing if some of them are not kept any more.
+    std::optional<std::vector<keyed_record>> changes_since(std::uint64_t from) const;
+    /// @return the newest record of each key.
+    std::vector<keyed_record> newest() const;
+    /// Takes in all changes between two offsets that another VM read. Does nothing if some before them are missing.
+    void take_changes(std::uint64_t from, std::uint64_t end, const std::vector<keyed_record>& records);
+    /// Takes in all keys' newest records that another VM knew at an offset. What is not among them is gone.
+    void take_newest(std::uint64_t end, const std::vector<keyed_record>& records);
 
 private:
+    /// The newest record of a key.
+    struct kept_record {
+        std::uint64_t offset{0};
+        std::string value;
+    };
+
+    void read_more();
+    void drop_unseen(std::uint64_t before);
+    void remember(const keyed_record& record);
+    void forget_recent();
+    void become_whole();
     void read_newest(const std::string& after);
     void take_page(const newest_page& page, bool first);
-    void finish_newest();
     void read_on();
     std::chrono::milliseconds next_wait() const;
     void take_stretch(const log_stretch& stretch);
@@ -74,7 +99,21 @@
     int failures_{0};
     /// The last read came back empty and at once after its wait.
     bool calm_{false};
-    std::unordered_map<std::string, std::uint64_t> told_;
+    /// Others read before, so the first read is to be answered at once, whether there is news or not.
+    bool resuming_{false};
+    bool reading_{false};
+    /// A call or the pause before one is under way.
+    bool busy_{false};
+    /// Nothing before `next_` is missing; else all newest records are to be read.
+    bool whole_{false};
+    /// Pages of newest records are being read.
+    bool paging_{false};
+    steady_time answered_at_;
+    std::unordered_map<std::string, kept_record> told_;
+    /// The latest changes, without a gap from `recent_from_` to `next_`.
+    std::deque<keyed_record> recent_;
+    std::uint64_t recent_from_{0};
+    std::size_t recent_bytes_{0};
     std::unordered_set<std::string> seen_;
     std::optional<timer_id> timer_;
     // Answers that come after the follower's end find this empty.
--- a/include/agatespar/wire/message_kind.h
+++ b/include/agatespar/wire/message_kind.h
@@ -37,6 +37,9 @@
     // routing
     version_counts = 50,
     quarantine_notice = 51,
+    // gateway
+    records_pull = 60,
+    records_news = 61,
 };
 
 } // namespace agatespar
--- a/include/agatespar/wire/transport.h
+++ b/include/agatespar/wire/transport.h
@@ -53,6 +53,8 @@
     void set_handler(frame_handler handler);
     /// Sends a message. @return whether it was taken for sending; delivery is not certain.
     bool send(const std::string& address, message_kind kind, std::string payload);
+    /// Drops the connection to a peer, with what waits for it; the next message opens a new one.
+    void forget(const std::string& address);
     const transport_counters& counters() const;
     /// @return frames and bytes sent and received of one kind.
     const transport_counters& counters_of(message_kind kind) const;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -31,9 +31,10 @@
 
 outcome<std::unique_ptr<gateway>> gateway::open(event_loop& loop, const gateway_settings& settings,
                                                 const gateway_protocol& protocol, const fleet_store& store,
-                                                connection_pool& pool, std::function<void()> on_stopped)
+                                                connection_pool& pool, const peer_link_opener& open_link,
+                                                std::function<void()> on_stopped)
 {
-    auto opened = std::make_unique<gateway>(loop, settings, protocol, store, pool, std::move(on_stopped));
+    auto opened = std::make_unique<gateway>(loop, settings, protocol, store, pool, open_link, std::move(on_stopped));
     auto* self = opened.get();
     auto front = http_listener::open(loop, settings.front_address, server_limits{},
                                      [self](const auto& exchange) { self->take_request(exchange); });
@@ -55,17 +56,19 @@
         return tl::make_unexpected(shown.error());
     }
     opened->metrics_listener_ = std::move(*shown);
-    opened->start_followers();
+    opened->relay_->start();
     opened->tick();
     return opened;
 }
 
 gateway::gateway(event_loop& loop, const gateway_settings& settings, const gateway_protocol& protocol,
-                 const fleet_store& store, connection_pool& pool, std::function<void()> on_stopped)
+                 const fleet_store& store, connection_pool& pool, const peer_link_opener& open_link,
+                 std::function<void()> on_stopped)
     : loop_(loop), settings_(settings), protocol_(protocol), store_(store), pool_(pool),
       on_stopped_(std::move(on_stopped)), random_(stable_hash(settings.vm_name)),
       fleet_(store_, settings.rollouts, own_boot_id(settings.vm_name, loop))
 {
+    make_followers(open_link);
 }
 
 gateway::~gateway()
@@ -75,38 +78,56 @@
     }
 }
 
-void gateway::start_followers()
+std::unique_ptr<topic_follower> gateway::make_follower(const follower_settings& settings, const char* name,
+                                                       std::function<void(const keyed_record&)> changed)
 {
-    const auto make = [this](follower_settings follower, const char* name,
-                             std::function<void(const keyed_record&)> changed) {
-        follower_callbacks callbacks;
-        callbacks.changed = std::move(changed);
-        callbacks.complete = [name] { log_event(log_severity::info, "topic_known", {{"topic", name}}); };
-        callbacks.reachable = [this, topic = follower.topic, name](bool reachable, const std::string& reason) {
-            note_reachable(topic, name, reachable, reason);
-        };
-        auto made = std::make_unique<topic_follower>(loop_, store_, follower, std::move(callbacks));
-        made->start();
-        return made;
+    follower_callbacks callbacks;
+    callbacks.changed = [this, changed = std::move(changed)](const keyed_record& record) {
+        changed(record);
+        relay_->note_change();
     };
+    callbacks.complete = [name] { log_event(log_severity::info, "topic_known", {{"topic", name}}); };
+    callbacks.reachable = [this, topic = settings.topic, name](bool reachable, const std::string& reason) {
+        note_reachable(topic, name, reachable, reason);
+    };
+    return std::make_unique<topic_follower>(loop_, store_, settings, std::move(callbacks));
+}
+
+void gateway::make_followers(const peer_link_opener& open_link)
+{
     follower_settings orders;
     orders.topic = fleet_topic::operator_orders;
-    orders_ = make(orders, "orders", [this](const keyed_record& record) {
+    orders.wait = settings_.order_wait;
+    orders_ = make_follower(orders, "orders", [this](const keyed_record& record) {
         fleet_.take_operator_record(record, loop_.time().now());
         apply_limits();
     });
     follower_settings servers;
     servers.topic = fleet_topic::servers;
     servers.pause = settings_.server_pause;
-    servers_ = make(servers, "servers",
-                    [this](const keyed_record& record) { fleet_.take_server_record(record, loop_.time().now()); });
+    servers_ = make_follower(servers, "servers", [this](const keyed_record& record) {
+        fleet_.take_server_record(record, loop_.time().now());
+    });
     follower_settings reports;
     reports.topic = fleet_topic::reports;
-    reports_ = make(reports, "reports", [this](const keyed_record& record) { fleet_.take_report_record(record); });
+    reports_ =
+        make_follower(reports, "reports", [this](const keyed_record& record) { fleet_.take_report_record(record); });
     follower_settings evidence;
     evidence.topic = fleet_topic::evidence;
     evidence.pause = settings_.evidence_pause;
-    evidence_ = make(evidence, "evidence", [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
+    evidence_ = make_follower(evidence, "evidence",
+                              [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
+    follower_settings vms;
+    vms.topic = fleet_topic::vms;
+    vms.pause = settings_.evidence_pause;
+    vms_ = make_follower(vms, "vms", [this](const keyed_record& record) { relay_->take_vm_record(record); });
+    relay_settings relay;
+    relay.self = {settings_.vm_name, settings_.zone, settings_.peer_address, settings_.link_mbps, settings_.cpu_share};
+    // In the order of the topics.
+    relay_ = std::make_unique<record_relay>(
+        loop_, store_, relay,
+        record_relay::follower_set{orders_.get(), servers_.get(), reports_.get(), evidence_.get(), vms_.get()},
+        open_link);
 }
 
 void gateway::note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason)
@@ -165,10 +186,13 @@
     show("agatespar_open_requests", "Requests under way.", static_cast<double>(front_->open_exchanges()));
     show("agatespar_client_connections", "Open connections of clients.", static_cast<double>(front_->connections()));
     show("agatespar_servers", "Backend servers that are known.", static_cast<double>(fleet_.directory().all().size()));
-    const std::array<std::pair<const char*, const topic_follower*>, 4> topics{{{"orders", orders_.get()},
-                                                                               {"servers", servers_.get()},
-                                                                               {"reports", reports_.get()},
-                                                                               {"evidence", evidence_.get()}}};
+    show("agatespar_vms", "VMs that are listed in the store.", static_cast<double>(relay_->vms()));
+    show("agatespar_reads_store", "Whether this VM reads the store itself.", relay_->reads_store() ? 1 : 0);
+    const std::array<std::pair<const char*, const topic_follower*>, fleet_topics> topics{{{"orders", orders_.get()},
+                                                                                          {"servers", servers_.get()},
+                                                                                          {"reports", reports_.get()},
+                                                                                          {"evidence", evidence_.get()},
+                                                                                          {"vms", vms_.get()}}};
     for (const auto& [name, follower] : topics) {
         show("agatespar_store_reachable", "Whether a topic of the platform's store can be read.",
              follower->is_reachable() ? 1 : 0, {{"topic", name}});
@@ -246,9 +270,16 @@
     }
 }
 
+double gateway::assumed_vms() const
+{
+    return std::max(settings_.least_vms, settings_.vm_margin * static_cast<double>(relay_->vms()));
+}
+
 repeat_budget& gateway::budget_of(const service_name& service)
 {
-    return budgets_.try_emplace(service, settings_.repeats).first->second;
+    repeat_budget& budget = budgets_.try_emplace(service, settings_.repeats).first->second;
+    budget.divide_among(assumed_vms());
+    return budget;
 }
 
 void gateway::stop()
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -8,6 +8,9 @@
 // A failed read is tried again after this, doubled each time: a few tries within the configuration's two seconds.
 static constexpr std::chrono::milliseconds first_retry{100};
 static constexpr std::chrono::milliseconds longest_retry{1000};
+// Changes that are kept for VMs that fell behind; whoever needs older ones takes all newest records instead.
+static constexpr std::size_t most_recent = 1024;
+static constexpr std::size_t most_recent_bytes = 256U * 1024U;
 
 topic_follower::topic_follower(event_loop& loop, const fleet_store& store, const follower_settings& settings,
                                follower_callbacks callbacks)
@@ -32,6 +35,30 @@
     });
 }
 
+void topic_follower::set_reading(bool reading)
+{
+    reading_ = reading;
+    if (reading_ && !busy_) {
+        resuming_ = whole_;
+        read_more();
+    }
+}
+
+/// Goes on with whatever is to be read next, unless others read.
+void topic_follower::read_more()
+{
+    busy_ = reading_;
+    if (!busy_) {
+        return;
+    }
+    if (whole_) {
+        read_on();
+    }
+    else {
+        read_newest({});
+    }
+}
+
 void topic_follower::retry(std::function<void()> action)
 {
     const auto delay = std::min(longest_retry, first_retry * (1 << std::min(failures_, 4)));
@@ -52,15 +79,18 @@
 
 void topic_follower::read_newest(const std::string& after)
 {
+    paging_ = true;
     store_.read_newest(settings_.topic, after, [this, self = self_, after](const outcome<newest_page>& page) {
         if (*self == nullptr) {
             return;
         }
         if (!page) {
+            paging_ = false;
             note_reachable(false, page.error().message);
-            retry([this, after] { read_newest(after); });
+            retry([this] { read_more(); });
             return;
         }
+        answered_at_ = loop_.time().now();
         note_reachable(true, {});
         take_page(*page, after.empty());
     });
@@ -72,7 +102,7 @@
         seen_.clear();
         // Pages are no snapshot, and the end that the store tells with one may be later than its records: what changed
         // meanwhile stands in the log after the last record of the first page.
-        next_ = first_kept_;
+        next_ = std::max(next_, first_kept_);
         for (const keyed_record& record : page.records) {
             next_ = std::max(next_, record.offset + 1);
         }
@@ -85,14 +115,18 @@
         read_newest(page.records.back().key);
         return;
     }
-    finish_newest();
+    paging_ = false;
+    drop_unseen(next_);
+    become_whole();
+    read_more();
 }
 
-void topic_follower::finish_newest()
+/// Tells that the keys which the newest records lack are gone, but for those that are newer than these.
+void topic_follower::drop_unseen(std::uint64_t before)
 {
     std::vector<std::string> gone;
-    for (const auto& [key, offset] : told_) {
-        if (!seen_.contains(key)) {
+    for (const auto& [key, known] : told_) {
+        if (!seen_.contains(key) && known.offset < before) {
             gone.push_back(key);
         }
     }
@@ -100,16 +134,21 @@
         told_.erase(key);
         callbacks_.changed({key, std::nullopt, next_});
     }
+}
+
+void topic_follower::become_whole()
+{
+    forget_recent();
+    whole_ = true;
     if (!complete_) {
         complete_ = true;
         callbacks_.complete();
     }
-    read_on();
 }
 
 std::chrono::milliseconds topic_follower::next_wait() const
 {
-    if (!reachable_) {
+    if (!reachable_ || resuming_) {
         // Answered at once, so that the store's return is noticed.
         return std::chrono::milliseconds{0};
     }
@@ -128,9 +167,11 @@
                          if (!stretch) {
                              note_reachable(false, stretch.error().message);
                              calm_ = false;
-                             retry([this] { read_on(); });
+                             retry([this] { read_more(); });
                              return;
                          }
+                         answered_at_ = loop_.time().now();
+                         resuming_ = false;
                          const bool slow = loop_.time().now() - asked > wait + settings_.slow_answer;
                          calm_ = stretch->records.empty() && !stretch->lost && !slow && wait.count() > 0;
                          note_reachable(true, {});
@@ -142,29 +183,107 @@
 {
     if (stretch.lost) {
         first_kept_ = std::max(first_kept_, stretch.first);
-        read_newest({});
+        whole_ = next_ >= first_kept_;
+        read_more();
         return;
     }
     for (const keyed_record& record : stretch.records) {
-        tell(record);
+        // Another VM may have passed on later ones meanwhile.
+        if (record.offset >= next_) {
+            tell(record);
+        }
     }
     next_ = std::max(next_, stretch.end);
-    after(settings_.pause, [this] { read_on(); });
+    after(settings_.pause, [this] { read_more(); });
+}
+
+void topic_follower::take_changes(std::uint64_t from, std::uint64_t end, const std::vector<keyed_record>& records)
+{
+    if (!whole_ || paging_ || from > next_ || end <= next_) {
+        return;
+    }
+    for (const keyed_record& record : records) {
+        if (record.offset >= next_) {
+            tell(record);
+        }
+    }
+    next_ = end;
+}
+
+void topic_follower::take_newest(std::uint64_t end, const std::vector<keyed_record>& records)
+{
+    if (paging_ || (whole_ && end <= next_)) {
+        return;
+    }
+    seen_.clear();
+    for (const keyed_record& record : records) {
+        seen_.insert(record.key);
+        // A key that is older than what is known here and yet not known was dropped since.
+        if (!whole_ || record.offset >= next_) {
+            tell(record);
+        }
+    }
+    next_ = std::max(next_, end);
+    drop_unseen(end);
+    become_whole();
+}
+
+std::optional<std::vector<keyed_record>> topic_follower::changes_since(std::uint64_t from) const
+{
+    if (!whole_ || from < recent_from_) {
+        return std::nullopt;
+    }
+    std::vector<keyed_record> changes;
+    for (const keyed_record& record : recent_) {
+        if (record.offset >= from) {
+            changes.push_back(record);
+        }
+    }
+    return changes;
+}
+
+std::vector<keyed_record> topic_follower::newest() const
+{
+    std::vector<keyed_record> records;
+    records.reserve(told_.size());
+    for (const auto& [key, known] : told_) {
+        records.push_back({key, known.value, known.offset});
+    }
+    return records;
 }
 
 void topic_follower::tell(const keyed_record& record)
 {
     const auto known = told_.find(record.key);
-    if (known != told_.end() && record.offset <= known->second) {
+    if (known != told_.end() && record.offset <= known->second.offset) {
         return;
     }
     if (record.value) {
-        told_[record.key] = record.offset;
+        told_[record.key] = {record.offset, *record.value};
     }
     else if (known != told_.end()) {
         told_.erase(known);
     }
+    remember(record);
     callbacks_.changed(record);
 }
 
+void topic_follower::remember(const keyed_record& record)
+{
+    recent_.push_back(record);
+    recent_bytes_ += record.value ? record.value->size() : 0;
+    while (recent_.size() > most_recent || recent_bytes_ > most_recent_bytes) {
+        recent_from_ = recent_.front().offset + 1;
+        recent_bytes_ -= recent_.front().value ? recent_.front().value->size() : 0;
+        recent_.pop_front();
+    }
+}
+
+void topic_follower::forget_recent()
+{
+    recent_.clear();
+    recent_bytes_ = 0;
+    recent_from_ = next_;
+}
+
 } // namespace agatespar
--- a/lib/wire/transport.cpp
+++ b/lib/wire/transport.cpp
@@ -224,6 +224,14 @@
     return true;
 }
 
+void transport::forget(const std::string& address)
+{
+    if (const auto found = impl_->peers.find(address); found != impl_->peers.end()) {
+        nng_close(found->second.socket);
+        impl_->peers.erase(found);
+    }
+}
+
 const transport_counters& transport::counters() const
 {
     return impl_->total;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -316,6 +316,42 @@
         self.assertEqual(self.runs(identity), 1)
 
 
+class WhenVMsReadForEachOther(GatewayCase):
+    def setUp(self):
+        super().setUp()
+        self.entries = {"vm-1": self.entry}
+        for number in (2, 3, 4):
+            name = f"vm-{number}"
+            self.entries[name] = self.start_entry(name, number + 1)
+        wait_until(lambda: len(self.readers()) == 2, "two of four VMs to read the store")
+
+    def readers(self):
+        return [name for name, entry in self.entries.items()
+                if "agatespar_reads_store 1" in self.get(entry["metrics"], "/metrics").body]
+
+    def wait_for_key(self, key):
+        for name, entry in self.entries.items():
+            wait_until(lambda at=entry: self.ask("safe", entry=at, key=key)[1] == 200, name + " to know " + key)
+
+    def test_all_learn_what_two_of_them_read_and_go_on_when_one_is_lost(self):
+        self.put("keyed.op", "config", service_map(2, keys=("key-two",)))
+        self.wait_for_key("key-two")
+        lost = self.readers()[0]
+        self.entries.pop(lost)["process"].kill()
+        self.put("keyed.op", "config", service_map(3, keys=("key-three",)))
+        self.wait_for_key("key-three")
+        wait_until(lambda: len(self.readers()) == 2, "another VM to read in its place")
+
+    def test_with_the_store_away_all_go_on_and_come_back(self):
+        self.fleet.faults("store", down=True)
+        for name in self.entries:
+            wait_until(lambda at=name: self.lines(at, "store_lost"), name + " to look for itself")
+        self.wait_for_key(KEY)
+        self.fleet.faults("store", down=False)
+        self.put("keyed.op", "config", service_map(2, keys=("key-two",)))
+        self.wait_for_key("key-two")
+
+
 class WhenVMsStop(GatewayCase):
     def test_a_planned_stop_cuts_nothing(self):
         self.on_all("talk", events=150)
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -151,7 +151,7 @@
     topic.write("b", std::nullopt);
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     WHEN("a record changes between two pages")
     {
         topic.after_first_page = [&topic] {
@@ -210,7 +210,7 @@
     topic.after_first_page = [&topic] { topic.write("config", "2"); };
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::operator_orders), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     topic.loop.advance(1s);
     CHECK(seen.values == strings{{"config", "2"}});
 }
@@ -223,7 +223,7 @@
     topic.latency = 240ms;
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::operator_orders), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     topic.loop.advance(200ms);
     topic.deaf = true;
     topic.write("config", "2");
@@ -246,7 +246,7 @@
     topic.first = 2;
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     topic.loop.advance(2s);
     const int calls = topic.calls;
     topic.loop.advance(20s);
@@ -262,7 +262,7 @@
     topic.write("a", "1");
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     topic.loop.advance(100ms);
     topic.down = true;
     std::exchange(topic.held_read, nullptr)();
@@ -287,7 +287,7 @@
     topic.down = true;
     told seen;
     topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
-    follower.start();
+    follower.set_reading(true);
     topic.loop.advance(5s);
     CHECK(!seen.complete);
     topic.down = false;
@@ -302,8 +302,90 @@
     told seen;
     {
         topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
-        follower.start();
+        follower.set_reading(true);
     }
     topic.loop.advance(1s);
     CHECK(!seen.complete);
 }
+
+SCENARIO("records of another VM are taken in without gaps, and never bring back what was dropped")
+{
+    fake_topic topic;
+    told seen;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
+    // Changes alone are no beginning.
+    follower.take_changes(0, 1, {{"a", "1", 0}});
+    CHECK(!seen.complete);
+    follower.take_newest(4, {{"a", "1", 0}, {"b", "2", 3}});
+    CHECK(seen.complete);
+    CHECK(follower.end() == 4);
+    CHECK(seen.values == strings{{"a", "1"}, {"b", "2"}});
+
+    WHEN("changes follow, some of them told before")
+    {
+        follower.take_changes(2, 6, {{"b", "2", 3}, {"a", std::nullopt, 4}, {"c", "3", 5}});
+        CHECK(seen.values == strings{{"b", "2"}, {"c", "3"}});
+        CHECK(follower.end() == 6);
+        AND_WHEN("a VM that is behind passes on what it knows")
+        {
+            follower.take_newest(4, {{"a", "1", 0}, {"b", "2", 3}});
+            follower.take_changes(0, 1, {{"a", "1", 0}});
+            CHECK(seen.values == strings{{"b", "2"}, {"c", "3"}});
+            CHECK(follower.end() == 6);
+        }
+        AND_WHEN("a VM asks for what came since")
+        {
+            const auto changes = follower.changes_since(5);
+            REQUIRE(changes);
+            REQUIRE(changes->size() == 1);
+            CHECK(changes->front().key == "c");
+            CHECK(!follower.changes_since(3));
+            CHECK(follower.newest().size() == 2);
+        }
+    }
+    WHEN("changes are missing in between, they are not taken in")
+    {
+        follower.take_changes(5, 6, {{"c", "3", 5}});
+        CHECK(seen.values == strings{{"a", "1"}, {"b", "2"}});
+        AND_WHEN("all newest records come, what they lack is gone")
+        {
+            follower.take_newest(6, {{"a", "1", 0}, {"c", "3", 5}});
+            CHECK(seen.values == strings{{"a", "1"}, {"c", "3"}});
+        }
+    }
+    WHEN("it is to read the store itself, it asks at once and from there")
+    {
+        for (const char* key : {"a", "x", "x", "b", "d"}) {
+            topic.write(key, "9");
+        }
+        follower.set_reading(true);
+        CHECK(topic.waits == std::vector<std::chrono::milliseconds>{0ms});
+        topic.loop.advance(10ms);
+        CHECK(seen.values == strings{{"a", "1"}, {"b", "2"}, {"d", "9"}});
+        AND_WHEN("it is told to stop, the read under way is its last")
+        {
+            follower.set_reading(false);
+            topic.loop.advance(60s);
+            const int calls = topic.calls;
+            topic.write("e", "5");
+            topic.loop.advance(60s);
+            CHECK(topic.calls == calls);
+        }
+    }
+}
+
+SCENARIO("a read that comes back after other VMs' later records does not bring back what they dropped")
+{
+    fake_topic topic;
+    topic.write("a", "1");
+    told seen;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), seen.callbacks()};
+    follower.set_reading(true);
+    topic.loop.advance(5s);
+    REQUIRE(seen.values == strings{{"a", "1"}});
+    topic.write("b", "2");
+    // The store's answer with "b" is on its way when another VM tells that "b" has come and gone.
+    follower.take_changes(1, 3, {{"b", "2", 1}, {"b", std::nullopt, 2}});
+    topic.loop.advance(10ms);
+    CHECK(seen.values == strings{{"a", "1"}});
+}
