Look for orders and servers alone while the store is away

Reports, evidence and the list of VMs are now read again once orders or servers are. Both stay, as single topics of the store can be down alone. A VM that hears the store through another one no longer counts its own topics as lost; they had stayed so until it read again itself.

--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -60,6 +60,8 @@
     std::optional<std::vector<keyed_record>> changes_since(std::uint64_t from) const;
     /// @return the newest record of each key.
     std::vector<keyed_record> newest() const;
+    /// Another VM passes the topic on and hears the store, which this one may have lost when it last read itself.
+    void note_passed_on();
     /// Takes in all changes between two offsets that another VM read. Does nothing if some before them are missing.
     void take_changes(std::uint64_t from, std::uint64_t end, const std::vector<keyed_record>& records);
     /// Takes in all keys' newest records that another VM knew at an offset. What is not among them is gone.
--- a/lib/gateway/record_relay.cpp
+++ b/lib/gateway/record_relay.cpp
@@ -242,8 +242,13 @@
                   {{"reason", reason}, {"vms", static_cast<std::uint64_t>(vms_.size())}});
     }
     reads_store_ = reads;
-    for (topic_follower* each : followers_) {
-        each->set_reading(reads);
+    // While the store is away, each VM looks for orders and servers alone; the rest is read when it is back.
+    const bool answers =
+        follower(fleet_topic::operator_orders).is_reachable() || follower(fleet_topic::servers).is_reachable();
+    for (std::size_t topic = 0; topic < fleet_topics; ++topic) {
+        const auto which = static_cast<fleet_topic>(topic);
+        const bool leads = which == fleet_topic::operator_orders || which == fleet_topic::servers;
+        followers_[topic]->set_reading(reads && (leads || answers));
     }
 }
 
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -180,6 +180,9 @@
     if (known->hears_store) {
         known->fresh_at = now;
         fresh_at_ = now;
+        for (topic_follower* each : followers_) {
+            each->note_passed_on();
+        }
     }
 }
 
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -197,6 +197,13 @@
     after(settings_.pause, [this] { read_more(); });
 }
 
+void topic_follower::note_passed_on()
+{
+    if (!reading_) {
+        note_reachable(true, "another VM hears the store");
+    }
+}
+
 void topic_follower::take_changes(std::uint64_t from, std::uint64_t end, const std::vector<keyed_record>& records)
 {
     if (!whole_ || paging_ || from > next_ || end <= next_) {
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -397,6 +397,38 @@
     CHECK(test.vms[other]->calls <= 2);
 }
 
+SCENARIO("while the store is away VMs look for what matters, and for all of it afterwards")
+{
+    // Pattern: every VM of a large fleet asks a store that is down, for each topic.
+    fleet test{20};
+    test.order(1);
+    test.loop.advance(10s);
+    test.store.down = true;
+    for (const auto& each : test.vms) {
+        each->calls = 0;
+    }
+    test.loop.advance(10s);
+    constexpr int leading_topics = 2;
+    // Pauses of 0.1, 0.2, 0.4 and 0.8 s, then of a second each. The other topics are tried once, as the outage begins.
+    constexpr int tries_of_one = 14;
+    constexpr int other_topics = 3;
+    for (const auto& each : test.vms) {
+        CHECK(each->calls <= leading_topics * tries_of_one + other_topics);
+    }
+    test.store.write(static_cast<std::size_t>(fleet_topic::evidence), "vm-1/one", "bad");
+    test.store.down = false;
+    test.loop.advance(1500ms);
+    for (const auto& each : test.vms) {
+        CHECK(each->values.contains("vm-1/one"));
+    }
+    test.loop.advance(3 * relay_settings{}.longest_silence);
+    for (const auto& each : test.vms) {
+        for (const auto& follower : each->followers) {
+            CHECK(follower->is_reachable());
+        }
+    }
+}
+
 SCENARIO("VMs that all lost power know everything again a tenth of a second after they start")
 {
     // Pattern: traffic goes on meanwhile, and each request until then is refused.
