Order the list of VMs once for all rows that came together

Found on reading the change again: the order of the readers was computed anew for each row, so a VM that starts among 340 sorted the list 340 times, and a dropped row was found by writing every VM's record as JSON to compare its key. The order is now made when it is next needed, and the key by itself. Behaviour is the same: unittest_gateway passes unchanged (2,603 assertions).

--- a/include/agatespar/gateway/vm_list.h
+++ b/include/agatespar/gateway/vm_list.h
@@ -28,6 +28,8 @@
 /// Key of the record that holds the secret which all VMs share.
 inline constexpr const char* secret_key = "secret";
 
+/// @return the key of the record by which a VM lists itself.
+std::string vm_record_key(const std::string& vm_name);
 /// @return the record by which a VM lists itself.
 keyed_record write_vm(const listed_vm& vm);
 /// @return the VM, or malformed. Records of other keys are `not_found`.
--- a/lib/gateway/record_relay.cpp
+++ b/lib/gateway/record_relay.cpp
@@ -54,7 +54,7 @@
         return;
     }
     if (!record.value) {
-        std::erase_if(vms_, [&record](const auto& entry) { return write_vm(entry.second).key == record.key; });
+        std::erase_if(vms_, [&record](const auto& entry) { return vm_record_key(entry.first) == record.key; });
     }
     else if (auto vm = read_vm(record)) {
         vms_[vm->name] = std::move(*vm);
@@ -63,7 +63,7 @@
         log_event(log_severity::warning, "vm_record_unreadable", {{"key", record.key}, {"reason", vm.error().message}});
         return;
     }
-    order_ = reading_order(vms_);
+    order_.clear();
 }
 
 void record_relay::note_complete()
@@ -189,6 +189,10 @@
     if (!link_) {
         return;
     }
+    if (order_.empty()) {
+        // Once for all rows that came together, not for each.
+        order_ = reading_order(vms_);
+    }
     const auto readers = choose_readers(order_, [this](const std::string& name) { return is_silent(name); });
     is_reader_ = std::any_of(readers.begin(), readers.end(),
                              [this](const listed_vm& vm) { return vm.name == settings_.self.name; });
--- a/lib/gateway/vm_list.cpp
+++ b/lib/gateway/vm_list.cpp
@@ -14,11 +14,16 @@
 
 static constexpr std::string_view vm_prefix = "vm/";
 
+std::string vm_record_key(const std::string& vm_name)
+{
+    return std::string{vm_prefix} + vm_name;
+}
+
 keyed_record write_vm(const listed_vm& vm)
 {
     const json document{
         {"zone", vm.zone.value()}, {"address", vm.address}, {"link_mbps", vm.link_mbps}, {"cpu_share", vm.cpu_share}};
-    return {std::string{vm_prefix} + vm.name, document.dump(), 0};
+    return {vm_record_key(vm.name), document.dump(), 0};
 }
 
 outcome<listed_vm> read_vm(const keyed_record& record)
