End answers that never end

Cause: bytes that are no answer may come without end. The parser's own limits count the head and the body, not a chunk's size line or extension, and not trailers; interim answers and answers of other requests were skipped without a bound; a plain answer or one event was collected up to 64 MB, and a VM has 160 MB. Besides, any byte of a stream counted as progress, so that a stalled one that sent a byte now and then was never looked at.

Shown first: the new test of the HTTP part failed for five of ten kinds of endless bytes (interim answers, answers of another request, a chunk's size, its extension, trailers). Ruled out by the same test: endless heads and lines without end, which the parser's limits end.

After: all ten fail within 8 MB.

--- a/include/agatespar/gateway/event_splitter.h
+++ b/include/agatespar/gateway/event_splitter.h
@@ -15,6 +15,7 @@
     const std::string& last_id() const { return last_id_; }
     /// @return whether bytes of an event that is not whole yet are waiting.
     bool has_partial() const { return !partial_.empty(); }
+    std::size_t partial_size() const { return partial_.size(); }
     /// Drops an event that will never be whole, as its stream broke.
     void drop_partial() { partial_.clear(); }
 
--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -75,6 +75,7 @@
     std::string expected_id_header_;
     std::string expected_id_;
     bool skipping_{false};
+    int skipped_{0};
     bool reusable_{true};
     bool head_request_{false};
     std::optional<timer_id> connect_timer_;
--- a/lib/gateway/transparent_run_answer.cpp
+++ b/lib/gateway/transparent_run_answer.cpp
@@ -7,6 +7,10 @@
 
 // Bytes that a slow client may leave unsent before its server is no longer read.
 static constexpr std::size_t most_unsent = 64 * 1024;
+// What is more than this never ends: plain answers have some kilobytes, events some hundred bytes, and a VM's whole
+// memory a hundred times as much.
+static constexpr std::size_t most_plain_bytes = std::size_t{8} << 20U;
+static constexpr std::size_t most_event_bytes = std::size_t{1} << 20U;
 // A larger model is asked only while this part of the goal is left: it takes some three times as long as the smallest
 // one, and a client's last try may have little time.
 static constexpr int cascade_part = 2;
@@ -87,13 +91,25 @@
     if (!call_) {
         return;
     }
-    last_piece_ = owner_.loop_.time().now();
-    server_->last_heard = last_piece_;
+    server_->last_heard = owner_.loop_.time().now();
     if (!streams_) {
+        last_piece_ = server_->last_heard;
         body_.append(bytes);
+        if (body_.size() > most_plain_bytes) {
+            on_failed({send_state::sent, "the answer has no end"});
+        }
+        return;
+    }
+    const std::string_view events = events_.take(bytes);
+    if (!events.empty()) {
+        // A byte now and then is no progress of the stream.
+        last_piece_ = server_->last_heard;
+    }
+    exchange_->send_piece(events);
+    if (events_.partial_size() > most_event_bytes) {
+        on_failed({send_state::sent, "an event has no end"});
         return;
     }
-    exchange_->send_piece(events_.take(bytes));
     if (exchange_->unsent() > most_unsent) {
         call_->pause(true);
     }
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -8,6 +8,9 @@
 
 // Servers close idle connections at their own timeout; a kept one is given up this long before.
 static constexpr std::chrono::milliseconds keep_margin{700};
+// Answers of other requests and interim ones that are skipped before the awaited answer, at most: a connection has few
+// requests that were left, and a server few things to say before it answers.
+static constexpr int most_skipped = 16;
 static constexpr int status_continue = 100;
 static constexpr int first_final_status = 200;
 
@@ -143,6 +146,10 @@
             finish();
             return;
         }
+        if (++skipped_ > most_skipped) {
+            fail("the server sent too much that is no answer to this request");
+            return;
+        }
         start_reading();
     }
 }
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -16,7 +16,8 @@
     static constexpr bool is_request = std::is_same_v<Head, http_request_head>;
     using error_type = beast::error_code;
 
-    impl(const message_limits& limits, message_callbacks<Head> given) : callbacks(std::move(given))
+    impl(const message_limits& limits, message_callbacks<Head> given)
+        : callbacks(std::move(given)), header_bytes(limits.header_bytes)
     {
         this->header_limit(limits.header_bytes);
         this->body_limit(limits.body_bytes);
@@ -39,11 +40,17 @@
         }
     }
     void on_field_impl(beast::http::field /*known*/, beast::string_view name, beast::string_view value,
-                       error_type& /*error*/) override
+                       error_type& error) override
     {
-        // Trailers come after the head was handed on; nothing here needs them, so they are dropped.
         if (!head_done) {
             head.headers.push_back({std::string{name.data(), name.size()}, std::string{value.data(), value.size()}});
+            return;
+        }
+        // Trailers come after the head was handed on; nothing here needs them, so they are dropped. The parser's own
+        // limit does not count them.
+        trailer_bytes += name.size() + value.size();
+        if (trailer_bytes > header_bytes) {
+            error = beast::http::error::header_limit;
         }
     }
     void on_header_impl(error_type& /*error*/) override
@@ -74,6 +81,8 @@
     message_callbacks<Head> callbacks;
     Head head;
     bool head_done{false};
+    std::uint32_t header_bytes;
+    std::size_t trailer_bytes{0};
 };
 
 template <class Head>
@@ -120,6 +129,10 @@
             break;
         }
     }
+    if (!impl_->is_done() && input.size() > impl_->header_bytes) {
+        // A line without end, such as a chunk's size or extension, which the parser's own limits do not count.
+        return failure(error_code::too_large, "header");
+    }
     return {};
 }
 
--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -16,6 +16,8 @@
     bool loses_answers{false};
     /// Breaks a stream in the middle of this event; 0: never.
     std::uint64_t breaks_at_event{0};
+    /// Sends bytes without end in place of an answer, or of an event that is not the first, until its caller closes.
+    bool endless{false};
     std::chrono::milliseconds late{0};
     /// Its opinion of a small model's answers.
     int confidence{90};
@@ -33,6 +35,7 @@
 private:
     void answer(const std::shared_ptr<exchange>& call);
     void stream(const std::shared_ptr<exchange>& call, std::uint64_t event);
+    void send_without_end(const std::shared_ptr<exchange>& call);
 
     event_loop& loop_;
     std::string name_;
@@ -74,6 +77,11 @@
         call->refuse(500, "failed", "ran");
         return;
     }
+    if (call->header("X-Model").empty() && faults_.endless) {
+        call->begin_events();
+        send_without_end(call);
+        return;
+    }
     if (call->header("X-Model").empty()) {
         call->answer_bytes(200, "text/plain", call->method() + " " + call->path() + " " + call->body());
         return;
@@ -94,6 +102,10 @@
         call->end_events();
         return;
     }
+    if (faults_.endless && event > 1) {
+        send_without_end(call);
+        return;
+    }
     const std::string text =
         "id: " + std::to_string(event) + "\ndata: " + call->header("X-Model") + " " + std::to_string(event) + "\n\n";
     const bool breaks = event == faults_.breaks_at_event;
@@ -108,12 +120,24 @@
     });
 }
 
+void runner_role::send_without_end(const std::shared_ptr<exchange>& call)
+{
+    if (!call->is_open()) {
+        return;
+    }
+    constexpr std::size_t step_bytes = 256 * 1024;
+    constexpr std::chrono::milliseconds pace{5};
+    call->send_text(std::string(step_bytes, 'a'));
+    loop_.schedule(pace, [this, call] { send_without_end(call); });
+}
+
 void runner_role::set_faults(const nlohmann::json& faults)
 {
     take_field(faults, "sheds", faults_.sheds);
     take_field(faults, "fails", faults_.fails);
     take_field(faults, "loses_answers", faults_.loses_answers);
     take_field(faults, "breaks_at_event", faults_.breaks_at_event);
+    take_field(faults, "endless", faults_.endless);
     take_field(faults, "late_ms", faults_.late);
     take_field(faults, "confidence", faults_.confidence);
     take_field(faults, "events", faults_.events);
--- /dev/null
+++ b/unittests/http/endless_test.cpp
@@ -0,0 +1,69 @@
+// Tests of servers that send without end what is no answer: the call fails after a bounded number of bytes.
+#include "loopback.h"
+
+#include <agatespar/http/client.h>
+
+using namespace agatespar;
+using namespace agatespar::test;
+using namespace std::chrono_literals;
+
+SCENARIO("bytes that are no answer and never end are cut off, whatever part of an answer they pretend to be")
+{
+    // Pattern: a faulty server writes until its caller closes; a hundred such calls must not fill the VM's memory.
+    struct endless {
+        std::string name;
+        std::string begin;
+        std::string again;
+    };
+    const std::string filler(1000, 'a');
+    const auto kind = GENERATE_COPY(
+        endless{"no line at all", "", filler}, endless{"empty lines", "", "\r\n\r\n\r\n\r\n"},
+        endless{"a line of status", "HTTP/1.1 200 ", filler},
+        endless{"a field of the head", "HTTP/1.1 200 OK\r\nX: ", filler},
+        endless{"fields of the head", "HTTP/1.1 200 OK\r\n", "X: " + filler + "\r\n"},
+        endless{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+        endless{"answers of another request", "", "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 2\r\n\r\nno"},
+        endless{"a chunk's size", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+        endless{"a chunk's extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=", filler},
+        endless{"trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n",
+                "X: " + filler + "\r\n"});
+    CAPTURE(kind.name);
+    glib_event_loop loop;
+    raw_server server{loop};
+    connection_pool pool{loop, pool_limits{}};
+    client_request request;
+    request.key = "server-1";
+    request.address = server.listener->address();
+    request.head = {"GET", "/x", {{"Host", "a"}, {"X-Id", "7"}}, true};
+    request.id_header = "X-Id";
+    std::optional<send_failure> failed;
+    std::size_t body = 0;
+    client_callbacks callbacks;
+    callbacks.head = [](const http_answer_head&) {};
+    callbacks.body = [&body](std::string_view bytes) { body += bytes.size(); };
+    callbacks.done = [] {};
+    callbacks.failed = [&failed](const send_failure& failure) { failed = failure; };
+    const auto call = pool.start(request, std::move(callbacks));
+    REQUIRE(call);
+    run_until(loop, [&server] { return !server.peers.empty() && server.peers[0]->received.ends_with("\r\n\r\n"); });
+    server.peers[0]->stream->write(kind.begin);
+    constexpr std::size_t step_bytes = 16 * 1024;
+    // Twice what a head may have, and what fits into the buffers between both.
+    constexpr std::size_t most_bytes = 8 * 1024 * 1024;
+    std::size_t sent = 0;
+    while (!failed && sent < most_bytes) {
+        std::string step;
+        while (step.size() < step_bytes) {
+            step += kind.again;
+        }
+        sent += step.size();
+        server.peers[0]->stream->write(step);
+        run_until(loop, [&] { return failed || server.peers[0]->ended || server.peers[0]->stream->unsent() == 0; });
+        if (server.peers[0]->ended) {
+            break;
+        }
+    }
+    run_until(loop, [&server] { return server.peers[0]->ended.has_value(); });
+    CHECK(failed);
+    CHECK(body <= 2);
+}
