Take changed settings in while the process runs

Cause: a changed settings file was read and logged, but held only from the next start. A file that can't be read changes nothing.

Test first red: process.gateway's changed bounds, with a signal and without, and a broken file.

--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import os
+import signal
 import socket
 import unittest
 
@@ -49,6 +50,7 @@
         self.fleet.start_standin("store", "store")
         self.sent = 0
         self.servers = {}
+        self.settings = {}
         self.put("keyed.op", "config", service_map(1))
         for service in ("calls", "talk"):
             for number in (1, 2):
@@ -75,8 +77,8 @@
         fields = {"node_name": name, "ip": host, "zone": "hall-a",
                   "listen": {"front": host + ":0", "readiness": host + ":0"},
                   "platform": {"address": self.fleet.platform["store"]}, "bounds": {"grace_s": 8}}
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump({"metrics_port": 0, "fields": fields}, file)
+        self.settings[name] = (path, fields)
+        self.write_settings(name)
         process = self.fleet.start(name, "agatespard", ["--gateway"], {"AGATESPAR_SETTINGS": path})
         wait_until(lambda: self.lines(name, "started"), name + " to start")
         entry = self.lines(name, "started")[0]
@@ -84,6 +86,13 @@
         wait_until(lambda: self.get(entry["readiness"], "/v1/readyz").status == 200, name + " to be ready")
         return entry
 
+    def write_settings(self, name, **bounds):
+        path, fields = self.settings[name]
+        fields["bounds"].update(bounds)
+        with open(path + ".new", "w", encoding="utf-8") as file:
+            json.dump({"metrics_port": 0, "fields": fields}, file)
+        os.replace(path + ".new", path)
+
     def lines(self, name, event):
         """Returns the log lines of one event."""
         found = []
@@ -199,6 +208,27 @@
         self.assertEqual(status, 502)
         self.assertLessEqual(self.runs(identity), 2)
 
+    def test_changed_settings_hold_in_the_running_process_with_a_signal_and_without(self):
+        self.on_all("calls", loses_answers=True)
+
+        def repeats():
+            identity, _, _, _ = self.ask("safe")
+            return self.runs(identity) - 1
+
+        self.assertEqual(repeats(), 1)
+        self.write_settings("vm-1", retry_ratio=0.0, retry_slack=0.0)
+        self.entry["process"].send(signal.SIGHUP)
+        wait_until(lambda: self.lines("vm-1", "settings_taken"), "the settings to be taken")
+        self.assertEqual(repeats(), 0)
+        self.write_settings("vm-1", retry_ratio=0.9, retry_slack=58.0)
+        wait_until(lambda: len(self.lines("vm-1", "settings_taken")) >= 2, "the changed file to be seen")
+        self.assertEqual(repeats(), 1)
+        path, _ = self.settings["vm-1"]
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("{")
+        wait_until(lambda: self.lines("vm-1", "settings_unreadable"), "the broken file to be told of")
+        self.assertEqual(repeats(), 1)
+
     def test_a_refusal_says_when_to_come_back_and_nothing_has_run(self):
         self.on_all("calls", sheds=True)
         for kind in ("unsafe", "safe"):
@@ -220,6 +250,22 @@
             identity, status, _, text = self.ask("stream")
             self.assertEqual((status, text), (200, self.events("small")))
 
+    def test_an_answer_without_end_is_cut_off_and_asked_for_elsewhere(self):
+        self.fleet.faults("calls-1", endless=True)
+        for _ in range(4):
+            identity, status, _, _ = self.ask("safe")
+            self.assertEqual(status, 200)
+        self.on_all("calls", endless=True)
+        identity, status, _, _ = self.ask("safe")
+        self.assertEqual(status, 502)
+        self.assertEqual(self.runs(identity), 2)
+
+    def test_an_event_without_end_is_never_passed_on_and_the_stream_goes_on_elsewhere(self):
+        self.fleet.faults("talk-1", endless=True)
+        for _ in range(4):
+            _, status, _, text = self.ask("stream")
+            self.assertEqual((status, text), (200, self.events("small")))
+
     def test_a_stream_that_breaks_everywhere_is_never_taken_for_whole(self):
         self.on_all("talk", breaks_at_event=4)
         identity, status, _, text = self.ask("stream")
