Tell other VMs of sessions that begin between an order and the exposure

Ruled out: sessions under way at the order, whose rows are told and written in one call.

Test first red: nothing was told. Unit tests of the gateway green after it.

--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -91,6 +91,7 @@
     std::unordered_map<std::string, double> usual_seconds_;
     std::unordered_set<session_hash> staying_;
     std::vector<session_hash> own_staying_;
+    std::size_t told_staying_{0};
     std::optional<steady_time> told_at_;
     std::optional<steady_time> stop_seen_;
     answer_tally told_;
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -42,8 +42,9 @@
         return version_choice::others_only;
     }
     if (now - started_ < settings_.exposure_delay) {
-        if (session) {
-            staying_.insert(*session);
+        if (session && staying_.insert(*session).second) {
+            // The others are told too: the session's next request may come to any of them.
+            own_staying_.push_back(*session);
         }
         return version_choice::others_only;
     }
@@ -108,12 +109,14 @@
     const bool new_bad = target.bad > told_.bad && (!told_at_ || now - *told_at_ >= settings_.evidence_pause);
     const bool new_good =
         any_bad && target.total() > told_.total() && told_at_ && now - *told_at_ >= settings_.calm_evidence_pause;
-    const bool first = !told_at_ && !own_staying_.empty();
-    if (!new_bad && !new_good && !first) {
+    const bool new_staying =
+        own_staying_.size() > told_staying_ && (!told_at_ || now - *told_at_ >= settings_.evidence_pause);
+    if (!new_bad && !new_good && !new_staying) {
         return std::nullopt;
     }
     told_ = target;
     told_at_ = now;
+    told_staying_ = own_staying_.size();
     rollout_evidence evidence;
     evidence.vm = own_;
     evidence.service = order_.service;
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -176,6 +176,31 @@
     }
 }
 
+SCENARIO("a session that begins between an order and the exposure stays on the old version on every VM")
+{
+    // Pattern: hundreds of VMs behind a balancer, where a session's next request comes to any of them.
+    manual_clock time;
+    const session_hash early = 1;
+    const session_hash late = 2;
+    rollout_watch here{order, {}, 1, {}, time.now()};
+    rollout_watch there{order, {}, 2, {}, time.now()};
+    CHECK(here.choose(0, early, time.now()) == version_choice::others_only);
+    const auto first = here.next_evidence(time.now());
+    REQUIRE(first);
+    there.take_evidence(*first);
+    CHECK(!here.next_evidence(time.now()));
+    time.advance(rollout_settings{}.evidence_pause);
+    CHECK(here.choose(0, late, time.now()) == version_choice::others_only);
+    CHECK(here.choose(0, early, time.now()) == version_choice::others_only);
+    const auto second = here.next_evidence(time.now());
+    REQUIRE(second);
+    CHECK(second->staying.size() == 2);
+    there.take_evidence(*second);
+    time.advance(10s);
+    CHECK(there.choose(0, early, time.now()) == version_choice::others_only);
+    CHECK(there.choose(0, late, time.now()) == version_choice::others_only);
+}
+
 SCENARIO("recent sessions are forgotten when their requests no longer belong together")
 {
     manual_clock time;
