Give the word that VMs say of themselves a message kind of its own

Cause: the change to a tree kept the number of the message that carried records too, while records moved to other kinds. In a fleet of two versions each would have taken the other's word for fresh, read none of its records, and not read the store: stale for as long as the roll-out of agatespar lasts. Test red first: a VM whose two readers answer in the older kind stayed on order 1. Ruled out: the question, whose new fields come last.

Now the older number is retired and the new message carries no records; VMs of another version are not heard, so they read the store themselves. The field that only kept the old shape is gone.

--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -215,7 +215,7 @@
     void take_pull(const std::string& from, records_pull pull);
     void gather_row(const row_to_write& row);
     void take_topic(const std::string& from, const topic_news& topic);
-    void take_news(const std::string& from, const records_news& news);
+    void take_status(const std::string& from, const relay_status& status);
     source* source_at(const std::string& address);
     void note_confirmed(asker& who, const records_pull& pull);
     void tell(const std::string& address, asker& who, bool also_nothing);
@@ -224,7 +224,7 @@
     void pass_on_freshness();
     void apply(const topic_news& topic);
     std::size_t lists_under_way() const;
-    records_news describe_self() const;
+    relay_status describe_self() const;
     bool knows_all() const;
     /// @return whether this VM reads the store, and the store answers.
     bool reads_fresh() const;
--- a/include/agatespar/gateway/relay_messages.h
+++ b/include/agatespar/gateway/relay_messages.h
@@ -66,18 +66,17 @@
     MSGPACK_DEFINE_ARRAY(topic, newest, from, end, records)
 };
 
-/// What a VM says of itself when it is asked, and when it has heard of the store.
-struct records_news {
+/// What a VM says of itself when it is asked, and when it has heard of the store. Not the message that carried records
+/// too: VMs of another version must not take each other for fresh while they can't read each other's records.
+struct relay_status {
     /// The sender knows all topics whole, and the store answered it, or a VM that it asks, lately.
     bool hears_store{false};
     /// Milliseconds since the store last answered the sender, or whoever the sender has its news from.
     std::uint64_t store_age_ms{0};
-    /// Records went here in the first form of this message; `records_topic` and `records_packed` carry them now.
-    std::vector<topic_news> topics;
     /// The sender reads the store itself, and has heard nothing of it for long: another VM should be asked.
     bool lost_store{false};
 
-    MSGPACK_DEFINE_ARRAY(hears_store, store_age_ms, topics, lost_store)
+    MSGPACK_DEFINE_ARRAY(hears_store, store_age_ms, lost_store)
 };
 
 } // namespace agatespar
--- a/include/agatespar/wire/message_kind.h
+++ b/include/agatespar/wire/message_kind.h
@@ -39,9 +39,10 @@
     quarantine_notice = 51,
     // gateway
     records_pull = 60,
-    records_news = 61,
+    // 61 was records_news: records and the state of the sender in one message.
     records_topic = 62,
     records_packed = 63,
+    relay_status = 64,
 };
 
 } // namespace agatespar
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -47,9 +47,9 @@
             return;
         }
     }
-    else if (kind == message_kind::records_news) {
-        if (const auto news = decode<records_news>(payload)) {
-            take_news(from, *news);
+    else if (kind == message_kind::relay_status) {
+        if (const auto status = decode<relay_status>(payload)) {
+            take_status(from, *status);
             return;
         }
     }
@@ -156,15 +156,16 @@
     return knows_all() && store_age() <= settings_.alone_time;
 }
 
-records_news record_relay::describe_self() const
+relay_status record_relay::describe_self() const
 {
-    records_news news;
-    news.hears_store = hears_store();
-    news.store_age_ms = static_cast<std::uint64_t>(store_age().count());
+    relay_status status;
+    status.hears_store = hears_store();
+    status.store_age_ms = static_cast<std::uint64_t>(store_age().count());
     const steady_time now = loop_.time().now();
-    news.lost_store = is_reader_ && !reads_fresh() && reading_since_ && now - *reading_since_ > settings_.resign_time &&
-                      now - follower(fleet_topic::operator_orders).answered_at() > settings_.resign_time;
-    return news;
+    status.lost_store = is_reader_ && !reads_fresh() && reading_since_ &&
+                        now - *reading_since_ > settings_.resign_time &&
+                        now - follower(fleet_topic::operator_orders).answered_at() > settings_.resign_time;
+    return status;
 }
 
 std::size_t record_relay::lists_under_way() const
@@ -242,7 +243,7 @@
         }
     }
     if (also_nothing) {
-        link_->send(address, message_kind::records_news, encode(describe_self()));
+        link_->send(address, message_kind::relay_status, encode(describe_self()));
     }
 }
 
@@ -317,7 +318,7 @@
     apply(topic);
 }
 
-void record_relay::take_news(const std::string& from, const records_news& news)
+void record_relay::take_status(const std::string& from, const relay_status& status)
 {
     source* known = source_at(from);
     if (known == nullptr) {
@@ -325,12 +326,12 @@
     }
     const steady_time now = loop_.time().now();
     known->heard_at = heard_source_at_ = now;
-    known->hears_store = news.hears_store;
-    known->lost_store = news.lost_store;
-    if (!news.hears_store) {
+    known->hears_store = status.hears_store;
+    known->lost_store = status.lost_store;
+    if (!status.hears_store) {
         return;
     }
-    const steady_time heard = now - std::chrono::milliseconds{news.store_age_ms};
+    const steady_time heard = now - std::chrono::milliseconds{status.store_age_ms};
     passed_on_at_ = std::max(heard, passed_on_at_.value_or(heard));
     for (topic_follower* each : followers_) {
         each->note_passed_on();
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 
 #include <random>
+#include <tuple>
 
 using namespace agatespar;
 using namespace agatespar::relay_test;
@@ -261,7 +262,7 @@
     test.order(1);
     test.loop.advance(10s);
     for (const auto& each : test.vms) {
-        each->receiver("10.0.0.9:1", message_kind::records_news, "\xc1");
+        each->receiver("10.0.0.9:1", message_kind::relay_status, "\xc1");
         each->receiver("10.0.0.9:1", message_kind::records_pull, "");
         each->receiver("10.0.0.9:1", message_kind::records_topic, "\xc1");
         each->receiver("10.0.0.9:1", message_kind::records_packed, "no compressed bytes");
@@ -280,6 +281,30 @@
     CHECK(std::all_of(test.vms.begin(), test.vms.end(), [](const auto& each) { return each->last_order == 1; }));
 }
 
+SCENARIO("a VM does not trust the word of VMs whose records it can't read")
+{
+    // Pattern: versions are rolled out VM by VM, and older ones told of themselves and of records in one message.
+    constexpr auto older_kind = static_cast<message_kind>(61);
+    fleet test{3};
+    test.order(1);
+    test.loop.advance(10s);
+    const auto readers = test.readers();
+    REQUIRE(readers.size() == 2);
+    for (const std::size_t i : readers) {
+        test.kill(i);
+        const auto link = test.make_link(i);
+        test.vms[i]->receiver = [link](const std::string& from, message_kind kind, std::string_view) {
+            if (kind == message_kind::records_pull) {
+                link.send(from, older_kind, encode(std::tuple{true, 0, std::vector<topic_news>{}}));
+            }
+        };
+    }
+    test.loop.advance(1s);
+    test.order(2);
+    test.loop.advance(2s);
+    CHECK(test.behind(2) == 0);
+}
+
 SCENARIO("a row that goes up to a reader is written at once, whatever the reader is about")
 {
     // Pattern: a reader that hears the store has nobody to ask, and looks after that several times a second.
