Name the store's topics in one place, and look counters up once

The change had written the topics' words again beside those that the gateway gave its followers; topic_word serves both now, and a follower says which topic it follows. The counters of bytes to other VMs were looked up by name for each message.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -90,13 +90,13 @@
     friend class transparent_run;
 
     void make_followers(const peer_link_opener& open_link);
-    std::unique_ptr<topic_follower> make_follower(const follower_settings& settings, const char* name,
+    std::unique_ptr<topic_follower> make_follower(const follower_settings& settings,
                                                   std::function<void(const keyed_record&)> changed);
     void answer_readiness(const std::shared_ptr<server_exchange>& exchange) const;
     void answer_metrics(const std::shared_ptr<server_exchange>& exchange);
     void refresh_metrics();
     void take_request(const std::shared_ptr<server_exchange>& exchange);
-    void note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason);
+    void note_reachable(fleet_topic topic, bool reachable, const std::string& reason);
     void apply_limits();
     void tick();
     void write_reports();
--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -51,6 +51,8 @@
     void set_reading(bool reading, std::chrono::milliseconds longest_retry = std::chrono::seconds{1});
     /// @return whether the topic has been read whole since the start.
     bool is_complete() const { return complete_; }
+    /// @return which topic it follows.
+    fleet_topic topic() const { return settings_.topic; }
     bool is_reachable() const { return reachable_; }
     /// @return whether nothing before end() is missing.
     bool is_whole() const { return whole_; }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -8,7 +8,6 @@
 #include <agatespar/telemetry/log.h>
 
 #include <algorithm>
-#include <array>
 #include <tuple>
 
 namespace agatespar {
@@ -81,7 +80,7 @@
     }
 }
 
-std::unique_ptr<topic_follower> gateway::make_follower(const follower_settings& settings, const char* name,
+std::unique_ptr<topic_follower> gateway::make_follower(const follower_settings& settings,
                                                        std::function<void(const keyed_record&)> changed)
 {
     follower_callbacks callbacks;
@@ -89,12 +88,12 @@
         changed(record);
         relay_->note_change();
     };
-    callbacks.complete = [this, name] {
-        log_event(log_severity::info, "topic_known", {{"topic", name}});
+    callbacks.complete = [this, topic = settings.topic] {
+        log_event(log_severity::info, "topic_known", {{"topic", topic_word(topic)}});
         relay_->note_complete();
     };
-    callbacks.reachable = [this, topic = settings.topic, name](bool reachable, const std::string& reason) {
-        note_reachable(topic, name, reachable, reason);
+    callbacks.reachable = [this, topic = settings.topic](bool reachable, const std::string& reason) {
+        note_reachable(topic, reachable, reason);
     };
     return std::make_unique<topic_follower>(loop_, store_, settings, std::move(callbacks));
 }
@@ -104,30 +103,27 @@
     follower_settings orders;
     orders.topic = fleet_topic::operator_orders;
     orders.wait = settings_.order_wait;
-    orders_ = make_follower(orders, "orders", [this](const keyed_record& record) {
+    orders_ = make_follower(orders, [this](const keyed_record& record) {
         fleet_.take_operator_record(record, loop_.time().now());
         apply_limits();
     });
     follower_settings servers;
     servers.topic = fleet_topic::servers;
     servers.pause = settings_.server_pause;
-    servers_ = make_follower(servers, "servers", [this](const keyed_record& record) {
-        fleet_.take_server_record(record, loop_.time().now());
-    });
+    servers_ = make_follower(
+        servers, [this](const keyed_record& record) { fleet_.take_server_record(record, loop_.time().now()); });
     follower_settings reports;
     reports.topic = fleet_topic::reports;
-    reports_ =
-        make_follower(reports, "reports", [this](const keyed_record& record) { fleet_.take_report_record(record); });
+    reports_ = make_follower(reports, [this](const keyed_record& record) { fleet_.take_report_record(record); });
     follower_settings evidence;
     evidence.topic = fleet_topic::evidence;
     evidence.pause = settings_.evidence_pause;
-    evidence_ = make_follower(evidence, "evidence",
-                              [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
+    evidence_ = make_follower(evidence, [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
     follower_settings vms;
     vms.topic = fleet_topic::vms;
     vms.pause = settings_.evidence_pause;
     vms.begins_empty = settings_.first_start;
-    vms_ = make_follower(vms, "vms", [this](const keyed_record& record) { relay_->take_vm_record(record); });
+    vms_ = make_follower(vms, [this](const keyed_record& record) { relay_->take_vm_record(record); });
     relay_settings relay;
     relay.self = {settings_.vm_name, settings_.zone, settings_.peer_address, settings_.link_mbps, settings_.cpu_share};
     // In the order of the topics.
@@ -137,10 +133,10 @@
         open_link);
 }
 
-void gateway::note_reachable(fleet_topic topic, const char* name, bool reachable, const std::string& reason)
+void gateway::note_reachable(fleet_topic topic, bool reachable, const std::string& reason)
 {
     log_event(reachable ? log_severity::info : log_severity::warning, reachable ? "store_regained" : "store_lost",
-              {{"topic", name}, {"reason", reason}});
+              {{"topic", topic_word(topic)}, {"reason", reason}});
     if (topic != fleet_topic::servers) {
         return;
     }
@@ -195,14 +191,9 @@
     show("agatespar_servers", "Backend servers that are known.", static_cast<double>(fleet_.directory().all().size()));
     show("agatespar_vms", "VMs that are listed in the store.", static_cast<double>(relay_->vms()));
     show("agatespar_reads_store", "Whether this VM reads the store itself.", relay_->reads_store() ? 1 : 0);
-    const std::array<std::pair<const char*, const topic_follower*>, fleet_topics> topics{{{"orders", orders_.get()},
-                                                                                          {"servers", servers_.get()},
-                                                                                          {"reports", reports_.get()},
-                                                                                          {"evidence", evidence_.get()},
-                                                                                          {"vms", vms_.get()}}};
-    for (const auto& [name, follower] : topics) {
+    for (const auto* follower : {&orders_, &servers_, &reports_, &evidence_, &vms_}) {
         show("agatespar_store_reachable", "Whether a topic of the platform's store can be read.",
-             follower->is_reachable() ? 1 : 0, {{"topic", name}});
+             (*follower)->is_reachable() ? 1 : 0, {{"topic", topic_word((*follower)->topic())}});
     }
     const auto count = [this](std::string_view name, std::string_view help, std::uint64_t value) {
         metrics_.make_counter(name, help).value = value;
--- a/lib/gateway/store_traffic.cpp
+++ b/lib/gateway/store_traffic.cpp
@@ -59,13 +59,13 @@
         if (!opened) {
             return opened;
         }
-        opened->send = [send = std::move(opened->send), &metrics](const std::string& address, message_kind kind,
-                                                                  std::string payload) {
-            const char* word = kind == message_kind::records_pull ? "question" : "news";
-            metrics
-                .make_counter("agatespar_relay_bytes_total", "Bytes of records and questions sent to other VMs.",
-                              {{"kind", word}})
-                .add(payload.size());
+        const auto counter_of = [&metrics](const char* kind) {
+            return &metrics.make_counter("agatespar_relay_bytes_total",
+                                         "Bytes of records and questions sent to other VMs.", {{"kind", kind}});
+        };
+        opened->send = [send = std::move(opened->send), questions = counter_of("question"),
+                        news = counter_of("news")](const std::string& address, message_kind kind, std::string payload) {
+            (kind == message_kind::records_pull ? questions : news)->add(payload.size());
             return send(address, kind, std::move(payload));
         };
         return opened;
--- a/unittests/gateway/relay_scale_test.cpp
+++ b/unittests/gateway/relay_scale_test.cpp
@@ -65,7 +65,7 @@
     }
 }
 
-/// @return by how much the busiest VM's bytes a second exceed all others'.
+/// @return what the VM that sent most has sent.
 std::size_t busiest_bytes(const fleet& test)
 {
     std::size_t most = 0;
