--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -86,11 +86,14 @@
         wait_until(lambda: self.get(entry["readiness"], "/v1/readyz").status == 200, name + " to be ready")
         return entry
 
-    def write_settings(self, name, **bounds):
+    def write_settings(self, name, written_at=None, **bounds):
+        """Replaces a VM's settings file; written_at is the time of change that it shows, in nanoseconds."""
         path, fields = self.settings[name]
         fields["bounds"].update(bounds)
         with open(path + ".new", "w", encoding="utf-8") as file:
             json.dump({"metrics_port": 0, "fields": fields}, file)
+        if written_at is not None:
+            os.utime(path + ".new", ns=(written_at, written_at))
         os.replace(path + ".new", path)
 
     def lines(self, name, event):
@@ -215,15 +218,23 @@
             identity, _, _, _ = self.ask("safe")
             return self.runs(identity) - 1
 
+        def taken():
+            return len(self.lines("vm-1", "settings_taken"))
+
+        path, _ = self.settings["vm-1"]
         self.assertEqual(repeats(), 1)
-        self.write_settings("vm-1", retry_ratio=0.0, retry_slack=0.0)
+        # Its time stays the same, so that nothing but the signal tells of the change.
+        written_at = os.stat(path).st_mtime_ns
+        self.write_settings("vm-1", written_at=written_at, retry_ratio=0.0, retry_slack=0.0)
         self.entry["process"].send(signal.SIGHUP)
-        wait_until(lambda: self.lines("vm-1", "settings_taken"), "the settings to be taken")
+        wait_until(lambda: taken() == 1, "the settings to be taken")
         self.assertEqual(repeats(), 0)
         self.write_settings("vm-1", retry_ratio=0.9, retry_slack=58.0)
-        wait_until(lambda: len(self.lines("vm-1", "settings_taken")) >= 2, "the changed file to be seen")
+        wait_until(lambda: taken() == 2, "the changed file to be seen")
+        self.entry["process"].send(signal.SIGHUP)
+        wait_until(lambda: self.lines("vm-1", "settings_unchanged"), "the signal without a change to be told of")
+        self.assertEqual(taken(), 2)
         self.assertEqual(repeats(), 1)
-        path, _ = self.settings["vm-1"]
         with open(path, "w", encoding="utf-8") as file:
             file.write("{")
         wait_until(lambda: self.lines("vm-1", "settings_unreadable"), "the broken file to be told of")
