Let VMs that are told of an outage judge it as those that read do

The word on the store now goes first, with any changes; what is told carries when the store was last heard.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -96,7 +96,7 @@
     void answer_metrics(const std::shared_ptr<server_exchange>& exchange);
     void refresh_metrics();
     void take_request(const std::shared_ptr<server_exchange>& exchange);
-    void note_reachable(fleet_topic topic, bool reachable, const std::string& reason);
+    void note_reachable(fleet_topic topic, bool reachable, const std::string& reason, steady_time since);
     void apply_limits();
     void tick();
     void write_reports();
--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -218,9 +218,10 @@
     void take_status(const std::string& from, const relay_status& status);
     source* source_at(const std::string& address);
     void note_confirmed(asker& who, const records_pull& pull);
-    void tell(const std::string& address, asker& who, bool also_nothing);
+    void tell(const std::string& address, asker& who, bool with_status);
     bool pack_news(const topic_position& position);
-    void tell_all(bool also_nothing);
+    void tell_all(bool with_status);
+    bool owes_freshness();
     void pass_on_freshness();
     void apply(const topic_news& topic);
     std::size_t lists_under_way() const;
--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -33,8 +33,8 @@
     std::function<void(const keyed_record& record)> changed;
     /// All records that the topic held at one moment have been told for the first time.
     std::function<void()> complete;
-    /// The store answers again, or no longer.
-    std::function<void(bool reachable, const std::string& reason)> reachable;
+    /// The store answers again, or no longer. @param since when that is known to have begun.
+    std::function<void(bool reachable, const std::string& reason, steady_time since)> reachable;
 };
 
 /// Reads on by itself. A record is told once, in the order of offsets for each key.
@@ -68,7 +68,8 @@
     /// @return the newest value of a key, or null.
     const std::string* value_of(const std::string& key) const;
     /// Another VM passes the topic on and hears the store, which this one may have lost when it last read itself.
-    void note_passed_on();
+    /// @param heard_at when the store answered the VM that the news come from.
+    void note_passed_on(steady_time heard_at);
     /// No other VM hears the store, and this one does not read itself.
     void note_not_passed_on();
     /// Takes in all changes between two offsets that another VM read. Does nothing if some before them are missing.
@@ -95,7 +96,8 @@
     std::chrono::milliseconds next_wait() const;
     void take_stretch(const log_stretch& stretch);
     void tell(const keyed_record& record);
-    void note_reachable(bool reachable, const std::string& reason);
+    void note_reachable(bool reachable, const std::string& reason, steady_time since);
+    steady_time lost_since() const;
     void retry(std::function<void()> action);
     void after(std::chrono::milliseconds delay, std::function<void()> action);
 
@@ -122,6 +124,8 @@
     bool paging_{false};
     std::chrono::milliseconds longest_retry_{std::chrono::seconds{1}};
     steady_time answered_at_;
+    /// When it last answered another VM, as far as they told.
+    steady_time passed_on_at_;
     std::unordered_map<std::string, kept_record> told_;
     /// The latest changes, without a gap from `recent_from_` to `next_`.
     std::deque<keyed_record> recent_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -92,8 +92,8 @@
         log_event(log_severity::info, "topic_known", {{"topic", topic_word(topic)}});
         relay_->note_complete();
     };
-    callbacks.reachable = [this, topic = settings.topic](bool reachable, const std::string& reason) {
-        note_reachable(topic, reachable, reason);
+    callbacks.reachable = [this, topic = settings.topic](bool reachable, const std::string& reason, steady_time since) {
+        note_reachable(topic, reachable, reason, since);
     };
     return std::make_unique<topic_follower>(loop_, store_, settings, std::move(callbacks));
 }
@@ -133,7 +133,7 @@
         open_link);
 }
 
-void gateway::note_reachable(fleet_topic topic, bool reachable, const std::string& reason)
+void gateway::note_reachable(fleet_topic topic, bool reachable, const std::string& reason, steady_time since)
 {
     log_event(reachable ? log_severity::info : log_severity::warning, reachable ? "store_regained" : "store_lost",
               {{"topic", topic_word(topic)}, {"reason", reason}});
@@ -141,10 +141,10 @@
         return;
     }
     if (reachable) {
-        fleet_.note_store_back(loop_.time().now());
+        fleet_.note_store_back(since);
     }
     else {
-        fleet_.note_store_lost(loop_.time().now());
+        fleet_.note_store_lost(since);
     }
 }
 
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -219,9 +219,13 @@
 }
 
 /// Sends what an asker lacks of each topic, unless that is under way already.
-/// @param also_nothing answers even if nothing is lacking.
-void record_relay::tell(const std::string& address, asker& who, bool also_nothing)
+/// @param with_status tells of this VM itself too.
+void record_relay::tell(const std::string& address, asker& who, bool with_status)
 {
+    if (with_status) {
+        // First, as what the store's return brings is judged by whether it is known to be back.
+        link_->send(address, message_kind::relay_status, encode(describe_self()));
+    }
     for (const topic_position& asked : who.known.positions) {
         if (asked.topic >= fleet_topics) {
             continue;
@@ -242,9 +246,6 @@
             sent = {packed.end, is_list || sent.is_list, sent.since.value_or(loop_.time().now())};
         }
     }
-    if (also_nothing) {
-        link_->send(address, message_kind::relay_status, encode(describe_self()));
-    }
 }
 
 void record_relay::note_change()
@@ -254,28 +255,36 @@
     }
     tell_timer_ = loop_.schedule(settings_.gather_time, [this] {
         tell_timer_.reset();
-        tell_all(false);
+        tell_all(owes_freshness());
     });
 }
 
-void record_relay::tell_all(bool also_nothing)
+void record_relay::tell_all(bool with_status)
 {
     for (auto& [address, who] : askers_) {
         if (who.known.follows) {
-            tell(address, who, also_nothing);
+            tell(address, who, with_status);
         }
     }
 }
 
-/// Tells the askers that the store was heard, so that what they know of it ages alike at any depth.
-void record_relay::pass_on_freshness()
+/// @return whether the askers are to be told now that the store was heard, which they then are.
+bool record_relay::owes_freshness()
 {
     const auto heard = store_heard_at();
     if (!hears_store() || (told_heard_at_ && *heard - *told_heard_at_ < settings_.freshness_interval)) {
-        return;
+        return false;
     }
     told_heard_at_ = heard;
-    tell_all(true);
+    return true;
+}
+
+/// Tells the askers that the store was heard, so that what they know of it ages alike at any depth.
+void record_relay::pass_on_freshness()
+{
+    if (owes_freshness()) {
+        tell_all(true);
+    }
 }
 
 void record_relay::apply(const topic_news& topic)
@@ -334,7 +343,7 @@
     const steady_time heard = now - std::chrono::milliseconds{status.store_age_ms};
     passed_on_at_ = std::max(heard, passed_on_at_.value_or(heard));
     for (topic_follower* each : followers_) {
-        each->note_passed_on();
+        each->note_passed_on(*passed_on_at_);
     }
     pass_on_freshness();
 }
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -67,17 +67,24 @@
     after(delay, std::move(action));
 }
 
-void topic_follower::note_reachable(bool reachable, const std::string& reason)
+void topic_follower::note_reachable(bool reachable, const std::string& reason, steady_time since)
 {
     if (reachable) {
         failures_ = 0;
     }
     if (reachable_ != reachable) {
         reachable_ = reachable;
-        callbacks_.reachable(reachable, reason);
+        callbacks_.reachable(reachable, reason, since);
     }
 }
 
+/// @return when the store was lost, if a read has failed now. A VM that was told of it until lately has read nothing
+/// meanwhile; another one's read was out since the store last answered it.
+steady_time topic_follower::lost_since() const
+{
+    return passed_on_at_ > answered_at_ ? passed_on_at_ : loop_.time().now();
+}
+
 void topic_follower::read_newest(const std::string& after)
 {
     paging_ = true;
@@ -87,12 +94,12 @@
         }
         if (!page) {
             paging_ = false;
-            note_reachable(false, page.error().message);
+            note_reachable(false, page.error().message, lost_since());
             retry([this] { read_more(); });
             return;
         }
         answered_at_ = loop_.time().now();
-        note_reachable(true, {});
+        note_reachable(true, {}, answered_at_);
         take_page(*page, after.empty());
     });
 }
@@ -172,7 +179,7 @@
                              return;
                          }
                          if (!stretch) {
-                             note_reachable(false, stretch.error().message);
+                             note_reachable(false, stretch.error().message, lost_since());
                              calm_ = false;
                              retry([this] { read_more(); });
                              return;
@@ -181,7 +188,7 @@
                          resuming_ = false;
                          const bool slow = loop_.time().now() - asked > wait + settings_.slow_answer;
                          calm_ = stretch->records.empty() && !stretch->lost && !slow && wait.count() > 0;
-                         note_reachable(true, {});
+                         note_reachable(true, {}, answered_at_);
                          take_stretch(*stretch);
                      });
 }
@@ -205,17 +212,18 @@
     after(settings_.pause, [this] { read_more(); });
 }
 
-void topic_follower::note_passed_on()
+void topic_follower::note_passed_on(steady_time heard_at)
 {
+    passed_on_at_ = heard_at;
     if (!reading_) {
-        note_reachable(true, "another VM hears the store");
+        note_reachable(true, "another VM hears the store", loop_.time().now());
     }
 }
 
 void topic_follower::note_not_passed_on()
 {
     if (!reading_) {
-        note_reachable(false, "no other VM hears the store");
+        note_reachable(false, "no other VM hears the store", passed_on_at_);
     }
 }
 
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -163,6 +163,36 @@
     }
 }
 
+SCENARIO("after an outage VMs know that the store is back before they hear what changed meanwhile")
+{
+    // Pattern: the entries of living servers lapse while the store is away and are put back after its return. Who takes
+    // a lapse for a departure refuses requests until then.
+    const auto servers = static_cast<std::size_t>(fleet_topic::servers);
+    fleet test{60};
+    test.order(1);
+    for (int i = 0; i < 8; ++i) {
+        test.store.write(servers, "server-" + std::to_string(i), "ready");
+    }
+    test.loop.advance(10s);
+    REQUIRE(test.lacking(servers) == 0);
+    test.store.stop();
+    const steady_time lost_at = test.loop.time().now();
+    test.loop.advance(5s);
+    for (int i = 0; i < 8; ++i) {
+        test.store.write(servers, "server-" + std::to_string(i), std::nullopt);
+    }
+    test.store.down = false;
+    test.loop.advance(2500ms);
+    for (const auto& each : test.vms) {
+        INFO(each->self.name);
+        CHECK(each->values.count("server-0") == 0);
+        CHECK(each->dropped_while_lost.empty());
+        // Nobody believes that the outage began much later than it did, which would make it look too short to matter.
+        REQUIRE(each->lost_at[servers]);
+        CHECK(*each->lost_at[servers] <= lost_at + 2 * store_latency);
+    }
+}
+
 SCENARIO("VMs that all lost power know everything again a tenth of a second after they start")
 {
     // Pattern: traffic goes on meanwhile, and each request until then is refused.
--- a/unittests/gateway/relay_fleet.h
+++ b/unittests/gateway/relay_fleet.h
@@ -29,6 +29,14 @@
     std::vector<waiting> reads;
     bool down{false};
 
+    /// Goes away; reads that wait for a record are broken off.
+    void stop()
+    {
+        down = true;
+        for (const waiting& read : std::exchange(reads, {})) {
+            loop.schedule(store_latency, read.answer);
+        }
+    }
     void write(std::size_t topic, const std::string& key, std::optional<std::string> value)
     {
         topics[topic].push_back({key, std::move(value), topics[topic].size()});
@@ -70,6 +78,9 @@
     std::size_t bytes_sent{0};
     /// Most bytes that waited for its link at any moment.
     std::size_t most_queued{0};
+    /// When the store was last lost, by topic, and the keys that were dropped while it was.
+    std::array<std::optional<steady_time>, fleet_topics> lost_at{};
+    std::set<std::string> dropped_while_lost;
     /// Calls by the store's topic.
     std::array<int, fleet_topics> calls_of{};
 };
@@ -202,10 +213,10 @@
                    const fleet_store::callback<log_stretch>& callback, const Stretch& stretch)
     {
         auto once = std::make_shared<bool>(false);
-        const auto finish = [&caller, callback, stretch, once] {
+        const auto finish = [this, &caller, callback, stretch, once] {
             // A VM that was cut off meanwhile hears nothing of it; its own time for the call is over later.
             if (!caller.cut && !std::exchange(*once, true)) {
-                callback(stretch());
+                callback(store.down ? failure(error_code::unavailable, "down") : outcome<log_stretch>{stretch()});
             }
         };
         store.reads.push_back({topic, from, finish});
@@ -228,7 +239,11 @@
             follower_callbacks callbacks;
             callbacks.changed = [this, i, topic](const keyed_record& record) { take(i, topic, record); };
             callbacks.complete = [this, i] { vms[i]->relay->note_complete(); };
-            callbacks.reachable = [](bool, const std::string&) {};
+            callbacks.reachable = [this, i, topic](bool reachable, const std::string&, steady_time since) {
+                if (!reachable) {
+                    vms[i]->lost_at[topic] = since;
+                }
+            };
             follower_settings settings;
             settings.topic = static_cast<fleet_topic>(topic);
             settings.wait = topic == 0 ? 1000ms : 30'000ms;
@@ -312,6 +327,9 @@
         }
         else {
             one.values.erase(record.key);
+            if (!one.followers[topic]->is_reachable()) {
+                one.dropped_while_lost.insert(record.key);
+            }
         }
         if (record.key == "order" && record.value) {
             const int order = std::stoi(*record.value);
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -125,7 +125,7 @@
             }
         };
         made.complete = [this] { complete = true; };
-        made.reachable = [this](bool now, const std::string&) { reachable = now; };
+        made.reachable = [this](bool now, const std::string&, steady_time) { reachable = now; };
         return made;
     }
 };
