Weigh a new version's answers beside those given at the same time

Both versions failed alike, but the new one's answers of that second were weighed against all answers of the old one so far. Besides: - a failure that is passed on was counted twice, at its head and at its end; - bad answers were told of at once, good ones up to two seconds later, so that with hundreds of VMs, each of which sees few, the version looked worse.

VMs now tell how the old version did beside the new one, tests compare with what came since they began, good answers are told as soon as bad ones while there are any, and a version is reverted once the evidence stands for a second.

Ruled out: the time of the report (it was sent in good time, as reverted), and herds of appends (three VMs sent one). Tried and changed: weighing the old version's answers of the last second alone failed at 300 VMs, as a VM's first word held what came before the trouble.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -62,6 +62,9 @@
     std::uint64_t target_bad{0};
     std::uint64_t others_good{0};
     std::uint64_t others_bad{0};
+    /// Those that were given beside the target's, lately, and not told of before.
+    std::uint64_t others_good_beside{0};
+    std::uint64_t others_bad_beside{0};
     /// Hashes of sessions that were under way when the order came.
     std::vector<std::uint64_t> staying;
 };
--- a/include/agatespar/gateway/fleet_state.h
+++ b/include/agatespar/gateway/fleet_state.h
@@ -32,7 +32,7 @@
     void take_operator_record(const keyed_record& record, steady_time now);
     void take_server_record(const keyed_record& record, steady_time now);
     void take_report_record(const keyed_record& record);
-    void take_evidence_record(const keyed_record& record);
+    void take_evidence_record(const keyed_record& record, steady_time now);
     /// A request of a session came in.
     void note_session(session_hash session, steady_time now) { sessions_.note(session, now); }
     /// The servers' topic can't be read any more, or can be read again.
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -7,6 +7,7 @@
 #include <agatespar/routing/version_guard.h>
 #include <agatespar/support/clock.h>
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -36,6 +37,12 @@
     double slow_factor{4};
     /// Answers faster than this are never slow, as small times vary by large factors.
     std::chrono::milliseconds slow_floor{150};
+    /// VMs tell how the old version's answers of this time were, beside what they saw of the new one: what fails half
+    /// of the servers shows in both at once.
+    std::chrono::milliseconds beside_time{500};
+    /// A version is reverted if the evidence stands for this: bad answers are told of at once, good ones after some
+    /// hundred milliseconds. The operators bear five seconds.
+    std::chrono::milliseconds confirm_time{1000};
     /// Requests of a session that follow each other within this belong together.
     std::chrono::milliseconds session_time{5000};
 };
@@ -66,9 +73,9 @@
     /// @return what holds now for a request that was given a choice before: once the roll-out is over, its end.
     version_choice confirm(version_choice chosen) const;
     /// Notes an answer. @param group answers of one group take similar times, e.g. a route and model.
-    void note_answer(bool by_target, const std::string& group, bool good, duration first_byte);
+    void note_answer(bool by_target, const std::string& group, bool good, duration first_byte, steady_time now);
     /// Takes in what another VM saw.
-    void take_evidence(const rollout_evidence& evidence);
+    void take_evidence(const rollout_evidence& evidence, steady_time now);
     /// @return what this VM saw, if the others should be told now.
     std::optional<rollout_evidence> next_evidence(steady_time now);
     /// @param target_serves whether this VM knows a server of the new version that takes requests. Without one the
@@ -80,6 +87,16 @@
     const guard_verdict& verdict() const { return guard_.verdict(); }
 
 private:
+    /// Answers of the old version in a short stretch of time.
+    struct dated_tally {
+        steady_time begin;
+        answer_tally answers;
+    };
+
+    void note_beside(bool good, steady_time now);
+    answer_tally take_beside(steady_time now);
+    void weigh(steady_time now);
+
     rollout_order order_;
     rollout_settings settings_;
     std::uint64_t own_;
@@ -88,6 +105,14 @@
     rollout_state state_{rollout_state::in_progress};
     answer_counts counts_;
     version_guard guard_;
+    /// The old version's answers that were given beside the new one's, as far as VMs told.
+    answer_tally beside_;
+    /// This VM's answers of the last moments that the others were not told of.
+    std::deque<dated_tally> untold_beside_;
+    /// All of the old version's answers by VM when it last told, as its row may come again.
+    std::unordered_map<std::uint64_t, std::uint64_t> told_others_;
+    /// When a bad answer of the new version was last seen or told of.
+    std::optional<steady_time> bad_at_;
     std::unordered_map<std::string, double> usual_seconds_;
     std::unordered_set<session_hash> staying_;
     std::vector<session_hash> own_staying_;
--- a/include/agatespar/routing/version_guard.h
+++ b/include/agatespar/routing/version_guard.h
@@ -18,6 +18,8 @@
     double false_alarm{0.005};
     /// A new test starts after this many answers, as a version may turn bad late.
     std::uint64_t answers_per_start{8};
+    /// Whether a stop holds though later answers speak against it.
+    bool holds{true};
 };
 
 /// What the guard concludes.
@@ -32,13 +34,17 @@
 /// Watches one version of a roll-out. The evidence is a mixture of likelihood ratios against the incumbent's share
 /// of bad answers, over several alternatives and starting points whose weights sum to at most one, so that by
 /// Ville's inequality (J. Ville, 1939) a good version is stopped with probability at most `false_alarm`.
-/// A stop holds until the guard is made anew, e.g. when operators change the roll-out.
+/// A stop that holds does so until the guard is made anew, e.g. when operators change the roll-out.
 class version_guard {
 public:
     version_guard(const guard_settings& settings, version_index candidate, version_index incumbent);
 
-    /// Looks at the merged counts. Cheap enough for every tick. @return the verdict so far.
-    const guard_verdict& update(const answer_counts& counts);
+    /// Looks at the merged counts. Cheap enough for every tick.
+    /// @param beside the incumbent's answers that were given beside the candidate's, since the roll-out's start. What
+    /// went wrong with them just as often since a test began, like a failure of half of the servers, does not speak
+    /// against the candidate. Too few are left out.
+    /// @return the verdict so far.
+    const guard_verdict& update(const answer_counts& counts, const answer_tally& beside = {});
     const guard_verdict& verdict() const { return verdict_; }
     version_index candidate() const { return candidate_; }
     version_index incumbent() const { return incumbent_; }
@@ -47,11 +53,13 @@
     /// The candidate's tallies by class where one of the tests started.
     struct test_start {
         std::vector<answer_tally> tallies;
+        /// The incumbent's answers beside them until then.
+        answer_tally beside;
         double weight{0};
     };
 
-    void start_tests(const answer_counts& counts);
-    double evidence_since(const test_start& start, const answer_counts& counts) const;
+    void start_tests(const answer_counts& counts, const answer_tally& beside);
+    double evidence_since(const test_start& start, const answer_counts& counts, const answer_tally& beside) const;
 
     guard_settings settings_;
     version_index candidate_;
--- a/lib/gateway/evidence_record.cpp
+++ b/lib/gateway/evidence_record.cpp
@@ -17,6 +17,8 @@
                         {"target_bad", evidence.target_bad},
                         {"others_good", evidence.others_good},
                         {"others_bad", evidence.others_bad},
+                        {"others_good_beside", evidence.others_good_beside},
+                        {"others_bad_beside", evidence.others_bad_beside},
                         {"staying", evidence.staying}};
     return {vm_name + "/" + evidence.service.value(), document.dump(), 0};
 }
@@ -36,6 +38,9 @@
         evidence.target_bad = document->at("target_bad").get<std::uint64_t>();
         evidence.others_good = document->at("others_good").get<std::uint64_t>();
         evidence.others_bad = document->at("others_bad").get<std::uint64_t>();
+        // VMs of an earlier version do not tell these.
+        evidence.others_good_beside = document->value("others_good_beside", std::uint64_t{0});
+        evidence.others_bad_beside = document->value("others_bad_beside", std::uint64_t{0});
         evidence.staying = document->at("staying").get<std::vector<std::uint64_t>>();
         return evidence;
     }
--- a/lib/gateway/fleet_state.cpp
+++ b/lib/gateway/fleet_state.cpp
@@ -111,7 +111,7 @@
                {"offset", record.offset}});
 }
 
-void fleet_state::take_evidence_record(const keyed_record& record)
+void fleet_state::take_evidence_record(const keyed_record& record, steady_time now)
 {
     if (!record.value) {
         return;
@@ -123,7 +123,7 @@
         return;
     }
     if (rollout_watch* watch = rollout_of(evidence->service)) {
-        watch->take_evidence(*evidence);
+        watch->take_evidence(*evidence, now);
     }
 }
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -118,7 +118,8 @@
     follower_settings evidence;
     evidence.topic = fleet_topic::evidence;
     evidence.pause = settings_.evidence_pause;
-    evidence_ = make_follower(evidence, [this](const keyed_record& record) { fleet_.take_evidence_record(record); });
+    evidence_ = make_follower(
+        evidence, [this](const keyed_record& record) { fleet_.take_evidence_record(record, loop_.time().now()); });
     follower_settings vms;
     vms.topic = fleet_topic::vms;
     vms.pause = settings_.evidence_pause;
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -14,11 +14,15 @@
 static constexpr class_index only_class{0};
 // Weight of the newest answer in the usual time of a group: some twenty answers are remembered.
 static constexpr double newest_weight = 0.05;
+// Stretches that the last moments are kept in: their length is off by one of them at most.
+static constexpr int beside_stretches = 10;
+// A good version may look bad for a moment, until its good answers are told of.
+static constexpr guard_settings guard_with_confirmation{.holds = false};
 
 rollout_watch::rollout_watch(const rollout_order& order, const rollout_settings& settings, std::uint64_t own,
                              const std::vector<session_hash>& under_way, steady_time now)
     : order_(order), settings_(settings), own_(own), started_(now), counts_(boot_id{own}, versions, 1),
-      guard_(guard_settings{}, target_index, others_index), staying_(under_way.begin(), under_way.end()),
+      guard_(guard_with_confirmation, target_index, others_index), staying_(under_way.begin(), under_way.end()),
       own_staying_(under_way)
 {
     const std::uint64_t place = combine_hashes(own, stable_hash(order.service.value()));
@@ -64,7 +68,8 @@
     return chosen;
 }
 
-void rollout_watch::note_answer(bool by_target, const std::string& group, bool good, duration first_byte)
+void rollout_watch::note_answer(bool by_target, const std::string& group, bool good, duration first_byte,
+                                steady_time now)
 {
     if (state_ != rollout_state::in_progress) {
         return;
@@ -75,27 +80,78 @@
         const bool slow = usual != usual_seconds_.end() && first_byte > settings_.slow_floor &&
                           seconds > settings_.slow_factor * usual->second;
         counts_.record(target_index, only_class, good && !slow);
+        if (!good || slow) {
+            bad_at_ = now;
+        }
     }
     else {
         counts_.record(others_index, only_class, good);
+        note_beside(good, now);
         if (good) {
             usual = usual_seconds_.emplace(group, seconds).first;
             usual->second += newest_weight * (seconds - usual->second);
         }
     }
-    guard_.update(counts_);
+    weigh(now);
+}
+
+/// Counts an answer of the old version that this VM saw.
+void rollout_watch::note_beside(bool good, steady_time now)
+{
+    ++(good ? beside_.good : beside_.bad);
+    if (untold_beside_.empty() || now - untold_beside_.back().begin >= settings_.beside_time / beside_stretches) {
+        untold_beside_.push_back({now, {}});
+    }
+    ++(good ? untold_beside_.back().answers.good : untold_beside_.back().answers.bad);
+    while (now - untold_beside_.front().begin > settings_.beside_time) {
+        untold_beside_.pop_front();
+    }
+}
+
+/// @return the old version's answers to tell of beside the new one's.
+answer_tally rollout_watch::take_beside(steady_time now)
+{
+    answer_tally sum;
+    for (const dated_tally& each : std::exchange(untold_beside_, {})) {
+        if (now - each.begin <= settings_.beside_time) {
+            sum.good += each.answers.good;
+            sum.bad += each.answers.bad;
+        }
+    }
+    return sum;
 }
 
-void rollout_watch::take_evidence(const rollout_evidence& evidence)
+/// Judges the new version by all that is known.
+void rollout_watch::weigh(steady_time now)
+{
+    if (!guard_.update(counts_, beside_).stop) {
+        stop_seen_.reset();
+    }
+    else if (!stop_seen_) {
+        stop_seen_ = now;
+    }
+}
+
+void rollout_watch::take_evidence(const rollout_evidence& evidence, steady_time now)
 {
     if (evidence.vm == own_ || evidence.target != order_.target) {
         return;
     }
     const std::array<answer_tally, versions> row{answer_tally{evidence.others_good, evidence.others_bad},
                                                  answer_tally{evidence.target_good, evidence.target_bad}};
+    const std::uint64_t bad_before = counts_.total(target_index, only_class).bad;
     counts_.merge(boot_id{evidence.vm}, row);
+    if (counts_.total(target_index, only_class).bad > bad_before) {
+        bad_at_ = now;
+    }
     staying_.insert(evidence.staying.begin(), evidence.staying.end());
-    guard_.update(counts_);
+    std::uint64_t& told_others = told_others_[evidence.vm];
+    if (const std::uint64_t others = evidence.others_good + evidence.others_bad; others > told_others) {
+        told_others = others;
+        beside_.good += evidence.others_good_beside;
+        beside_.bad += evidence.others_bad_beside;
+    }
+    weigh(now);
 }
 
 std::optional<rollout_evidence> rollout_watch::next_evidence(steady_time now)
@@ -105,10 +161,11 @@
     }
     const auto row = counts_.own_row();
     const answer_tally& target = row[target_index.value()];
-    const bool any_bad = counts_.total(target_index, only_class).bad > 0;
+    // Right after a bad answer the good ones count as soon, or the version would look worse than it is.
+    const bool just_bad = bad_at_ && now - *bad_at_ < settings_.calm_evidence_pause;
+    const auto good_pause = just_bad ? settings_.evidence_pause : settings_.calm_evidence_pause;
     const bool new_bad = target.bad > told_.bad && (!told_at_ || now - *told_at_ >= settings_.evidence_pause);
-    const bool new_good =
-        any_bad && target.total() > told_.total() && told_at_ && now - *told_at_ >= settings_.calm_evidence_pause;
+    const bool new_good = bad_at_ && target.total() > told_.total() && (!told_at_ || now - *told_at_ >= good_pause);
     const bool new_staying =
         own_staying_.size() > told_staying_ && (!told_at_ || now - *told_at_ >= settings_.evidence_pause);
     if (!new_bad && !new_good && !new_staying) {
@@ -123,6 +180,9 @@
     evidence.target = order_.target;
     evidence.others_good = row[others_index.value()].good;
     evidence.others_bad = row[others_index.value()].bad;
+    const answer_tally beside = take_beside(now);
+    evidence.others_good_beside = beside.good;
+    evidence.others_bad_beside = beside.bad;
     evidence.target_good = target.good;
     evidence.target_bad = target.bad;
     evidence.staying = own_staying_;
@@ -135,10 +195,9 @@
         return std::nullopt;
     }
     const auto delay = own_delay_ / 2 + (reads_store ? std::chrono::milliseconds{0} : settings_.report_spread / 2);
-    if (guard_.verdict().stop) {
-        stop_seen_ = stop_seen_.value_or(now);
+    if (stop_seen_) {
         // The others would be refused: only the first report is taken.
-        if (!reads_store && now - *stop_seen_ < delay) {
+        if (now - *stop_seen_ < settings_.confirm_time + (reads_store ? std::chrono::milliseconds{0} : delay)) {
             return std::nullopt;
         }
         return rollout_report{order_.service, order_.target, rollout_state::reverted};
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -94,6 +94,8 @@
     std::shared_ptr<fleet_server> server_;
     std::shared_ptr<client_call> call_;
     steady_time attempt_began_;
+    /// The attempt already speaks for or against its server's version.
+    bool quality_noted_{false};
     std::uint64_t unread_tokens_{0};
     duration first_byte_{0};
     run_report report_;
--- a/lib/gateway/transparent_run_send.cpp
+++ b/lib/gateway/transparent_run_send.cpp
@@ -119,6 +119,7 @@
     ++sends_;
     tried_.push_back(server_->record.name);
     attempt_began_ = owner_.loop_.time().now();
+    quality_noted_ = false;
     head_ = {};
     body_.clear();
     const http_request_head head = owner_.protocol_.write_attempt(exchange_->head(), describe_attempt(*server_));
@@ -245,11 +246,13 @@
 void transparent_run::note_quality(bool good)
 {
     rollout_watch* watch = owner_.fleet_.rollout_of(service_);
-    if (watch == nullptr || !server_) {
+    // A failure that is passed on is seen at its head and again at its end.
+    if (watch == nullptr || !server_ || std::exchange(quality_noted_, true)) {
         return;
     }
     const std::string group = route_->name.value() + "/" + (model_ ? model_->value() : "");
-    watch->note_answer(server_->record.version == watch->order().target, group, good, first_byte_);
+    watch->note_answer(server_->record.version == watch->order().target, group, good, first_byte_,
+                       owner_.loop_.time().now());
 }
 
 } // namespace agatespar
--- a/lib/routing/version_guard.cpp
+++ b/lib/routing/version_guard.cpp
@@ -47,9 +47,13 @@
     return std::min(0.95, mean + standard_errors * error + tolerance);
 }
 
-double version_guard::evidence_since(const test_start& start, const answer_counts& counts) const
+double version_guard::evidence_since(const test_start& start, const answer_counts& counts,
+                                     const answer_tally& beside) const
 {
     std::array<double, lost_shares.size()> log_ratios{};
+    const answer_tally since{beside.good - start.beside.good, beside.bad - start.beside.bad};
+    const bool says_enough = since.total() >= fewest_incumbent_answers;
+    const double tolerated_beside = says_enough ? tolerated_bad_share(since, settings_.tolerance) : 0;
     for (std::size_t i = 0; i < counts.classes(); ++i) {
         const answer_tally now = counts.total(candidate_, class_at(i));
         const answer_tally incumbent = counts.total(incumbent_, class_at(i));
@@ -57,7 +61,7 @@
             continue;
         const double good = static_cast<double>(now.good - start.tallies[i].good);
         const double bad = static_cast<double>(now.bad - start.tallies[i].bad);
-        const double tolerated = tolerated_bad_share(incumbent, settings_.tolerance);
+        const double tolerated = std::max(tolerated_beside, tolerated_bad_share(incumbent, settings_.tolerance));
         for (std::size_t k = 0; k < lost_shares.size(); ++k) {
             const double alternative = tolerated + lost_shares[k] * (1 - tolerated);
             log_ratios[k] +=
@@ -71,12 +75,13 @@
 }
 
 /// Starts a test after each `answers_per_start` answers. The k-th has the weight 1/(k(k+1)); these sum to one.
-void version_guard::start_tests(const answer_counts& counts)
+void version_guard::start_tests(const answer_counts& counts, const answer_tally& beside)
 {
     if (sum_of(counts, candidate_).total() < started_ * settings_.answers_per_start)
         return;
     ++started_;
     test_start start;
+    start.beside = beside;
     start.weight = 1.0 / (static_cast<double>(started_) * static_cast<double>(started_ + 1));
     for (std::size_t i = 0; i < counts.classes(); ++i)
         start.tallies.push_back(counts.total(candidate_, class_at(i)));
@@ -85,17 +90,17 @@
         starts_.erase(starts_.begin());
 }
 
-const guard_verdict& version_guard::update(const answer_counts& counts)
+const guard_verdict& version_guard::update(const answer_counts& counts, const answer_tally& beside)
 {
-    if (verdict_.stop)
+    if (verdict_.stop && settings_.holds)
         return verdict_;
     verdict_.candidate = sum_of(counts, candidate_);
     verdict_.incumbent = sum_of(counts, incumbent_);
     verdict_.evidence = 0;
     for (const test_start& start : starts_)
-        verdict_.evidence += start.weight * evidence_since(start, counts);
+        verdict_.evidence += start.weight * evidence_since(start, counts, beside);
     verdict_.stop = verdict_.evidence >= 1 / settings_.false_alarm;
-    start_tests(counts);
+    start_tests(counts, beside);
     return verdict_;
 }
 
