Let a VM that starts and hears nothing ask one drawn from the list

After a zone's loss of power its VMs came back over 0.8 s, those that pass records on to the others last. Whoever started before them asked two VMs that were starting too, left them for five seconds after 0.9 s of silence, and knew its configuration 2.4 to 3.6 s after its start.

A VM that was told nothing for 250 ms now asks a VM drawn from the whole list, another one each time; every one that knows the records answers with them.

Ruled out: the readers, the store (a new reader knew all 20 ms after its start), slow links. The unit test failed first: 86 checks, up to 1.5 s and more; all know everything within a second now.

--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -67,6 +68,9 @@
     std::chrono::milliseconds row_gather_time{100};
     /// A reader that wrote a row does not write it again for this, while it is on its way back.
     std::chrono::milliseconds row_memory{3000};
+    /// A VM that starts and was told nothing for this asks a VM drawn from the whole list, as those above it may be
+    /// starting too: news come within a third of it where somebody has them.
+    std::chrono::milliseconds help_time{250};
     /// Between the first questions of a VM that does not know all yet and serves nobody; then twice as long each time.
     std::chrono::milliseconds start_interval{50};
     /// News that were sent and not confirmed for this are taken as lost.
@@ -210,7 +214,13 @@
     std::chrono::milliseconds patience() const;
     bool hears_a_source() const;
     void set_reading(bool reads, const char* role, const char* reason);
+    records_pull make_pull() const;
     void ask_sources();
+    /// @return whom this VM is to ask once, as nobody else tells it anything.
+    const listed_vm* choose_helper();
+    void ask_helper();
+    /// @return whether this VM asked a VM at this address.
+    bool was_asked(const std::string& address) const;
     void receive(const std::string& from, message_kind kind, std::string_view payload);
     void take_pull(const std::string& from, records_pull pull);
     void gather_row(const row_to_write& row);
@@ -261,6 +271,10 @@
     /// When any VM that it asks last answered, and when there was first one to ask.
     std::optional<steady_time> heard_source_at_;
     std::optional<steady_time> first_asked_at_;
+    /// Who was asked for help, and when records were last asked for so, or told.
+    std::set<std::string> helpers_;
+    steady_time help_asked_at_;
+    steady_time told_at_;
     std::optional<steady_time> reading_since_;
     /// VMs between this one and those that ask the readers.
     std::size_t depth_{0};
--- a/lib/gateway/record_relay.cpp
+++ b/lib/gateway/record_relay.cpp
@@ -89,6 +89,7 @@
     choose_sources_anew();
     decide_reading();
     pass_on_freshness();
+    ask_helper();
     const bool has_new = std::any_of(sources_.begin(), sources_.end(), [](const source& from) { return !from.asked; });
     const bool knows = knows_all();
     if (has_new || loop_.time().now() - asked_sources_at_ >= ask_interval_) {
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -1,5 +1,6 @@
 // Asks other VMs for news, and answers those who ask this one.
 #include <agatespar/gateway/record_relay.h>
+#include <agatespar/support/hash.h>
 #include <agatespar/telemetry/log.h>
 #include <agatespar/wire/compression.h>
 
@@ -12,6 +13,18 @@
 // A frame takes at most two megabytes; a list of the largest fleets has one.
 static constexpr std::size_t most_unpacked_bytes = std::size_t{16} << 20U;
 
+/// @return a question for all that this VM lacks.
+records_pull record_relay::make_pull() const
+{
+    records_pull pull;
+    for (std::size_t topic = 0; topic < fleet_topics; ++topic) {
+        pull.positions.push_back(
+            {static_cast<std::uint8_t>(topic), followers_[topic]->is_whole(), followers_[topic]->end()});
+    }
+    pull.start = static_cast<std::uint64_t>(started_.time_since_epoch().count());
+    return pull;
+}
+
 void record_relay::ask_sources()
 {
     const steady_time now = loop_.time().now();
@@ -19,13 +32,8 @@
     if (sources_.empty()) {
         return;
     }
-    records_pull pull;
-    for (std::size_t topic = 0; topic < fleet_topics; ++topic) {
-        pull.positions.push_back(
-            {static_cast<std::uint8_t>(topic), followers_[topic]->is_whole(), followers_[topic]->end()});
-    }
+    records_pull pull = make_pull();
     pull.follows = true;
-    pull.start = static_cast<std::uint64_t>(started_.time_since_epoch().count());
     pull.rows = rows_to_pass_on();
     std::erase_if(rows_, [](const auto& entry) { return !entry.second.is_own && !entry.second.written_at; });
     for (source& from : sources_) {
@@ -39,6 +47,42 @@
     }
 }
 
+const listed_vm* record_relay::choose_helper()
+{
+    const steady_time now = loop_.time().now();
+    const bool waits = first_asked_at_ && now - *first_asked_at_ >= settings_.help_time &&
+                       now - told_at_ >= settings_.help_time && now - help_asked_at_ >= settings_.help_time;
+    if (!link_ || is_reader_ || knows_all() || !waits || vms_.empty()) {
+        return nullptr;
+    }
+    // Another one each time, and others for each VM.
+    const std::uint64_t drawn =
+        combine_hashes(stable_hash(settings_.self.name), static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    const listed_vm& vm = std::next(vms_.begin(), static_cast<std::ptrdiff_t>(drawn % vms_.size()))->second;
+    return vm.name == settings_.self.name ? nullptr : &vm;
+}
+
+void record_relay::ask_helper()
+{
+    if (knows_all()) {
+        helpers_.clear();
+    }
+    const listed_vm* helper = choose_helper();
+    if (helper == nullptr) {
+        return;
+    }
+    help_asked_at_ = loop_.time().now();
+    helpers_.insert(helper->address);
+    link_->send(helper->address, message_kind::records_pull, encode(make_pull()));
+}
+
+bool record_relay::was_asked(const std::string& address) const
+{
+    return helpers_.contains(address) || std::any_of(sources_.begin(), sources_.end(), [&address](const source& each) {
+               return each.vm.address == address;
+           });
+}
+
 void record_relay::receive(const std::string& from, message_kind kind, std::string_view payload)
 {
     if (kind == message_kind::records_pull) {
@@ -319,24 +363,27 @@
 
 void record_relay::take_topic(const std::string& from, const topic_news& topic)
 {
-    source* known = source_at(from);
-    if (known == nullptr) {
+    if (!was_asked(from)) {
         return;
     }
-    known->heard_at = heard_source_at_ = loop_.time().now();
+    told_at_ = loop_.time().now();
+    if (source* known = source_at(from)) {
+        known->heard_at = heard_source_at_ = told_at_;
+    }
     apply(topic);
 }
 
 void record_relay::take_status(const std::string& from, const relay_status& status)
 {
-    source* known = source_at(from);
-    if (known == nullptr) {
+    if (!was_asked(from)) {
         return;
     }
     const steady_time now = loop_.time().now();
-    known->heard_at = heard_source_at_ = now;
-    known->hears_store = status.hears_store;
-    known->lost_store = status.lost_store;
+    if (source* known = source_at(from)) {
+        known->heard_at = heard_source_at_ = now;
+        known->hears_store = status.hears_store;
+        known->lost_store = status.lost_store;
+    }
     if (!status.hears_store) {
         return;
     }
--- a/unittests/gateway/relay_scale_test.cpp
+++ b/unittests/gateway/relay_scale_test.cpp
@@ -131,6 +131,59 @@
     CHECK(test->calls() <= 2 * static_cast<int>(vm_count));
 }
 
+SCENARIO("a zone whose VMs come back one after the other knows everything soon after each of them has started",
+         "[scale]")
+{
+    // Pattern: a zone is without power, and those of its VMs that pass records on come back last. Whoever starts before
+    // them finds nobody in its zone who answers.
+    const int seed = GENERATE(range(1, 4));
+    CAPTURE(seed);
+    std::mt19937_64 random{static_cast<std::uint64_t>(seed)};
+    auto test = make_large_fleet(vm_count);
+    test->time_per_byte = 5us;
+    test->order(1);
+    write_servers(*test, server_count);
+    start_all(*test, random);
+    test->loop.advance(10s);
+    REQUIRE(test->lacking(1) == 0);
+    std::vector<std::size_t> lost;
+    for (std::size_t i = 0; i < vm_count; i += zone_count) {
+        test->kill(i);
+        lost.push_back(i);
+    }
+    test->loop.advance(2s);
+    reset_counts(*test);
+    std::shuffle(lost.begin(), lost.end(), random);
+    std::stable_partition(lost.begin(), lost.end(),
+                          [&test](std::size_t i) { return test->vms[i]->self.link_mbps < 100; });
+    std::map<std::size_t, steady_time> started;
+    std::map<std::size_t, duration> known_after;
+    constexpr auto spread = 800ms;
+    constexpr auto step = 10ms;
+    const steady_time begin = test->loop.time().now();
+    for (auto passed = 0ms; passed < 2500ms + spread; passed += step) {
+        while (started.size() < lost.size() && passed * lost.size() >= spread * started.size()) {
+            const std::size_t next = lost[started.size()];
+            test->start(next);
+            started[next] = test->loop.time().now();
+        }
+        test->loop.advance(step);
+        for (const auto& [i, at] : started) {
+            if (test->vms[i]->last_order == 1 && test->vms[i]->values.size() > server_count) {
+                known_after.try_emplace(i, test->loop.time().now() - at);
+            }
+        }
+    }
+    REQUIRE(started.size() == lost.size());
+    // Operators bear 2.5 s from the loss to serving again; what a VM needs to know is most of it.
+    for (const auto& [i, at] : started) {
+        CAPTURE(i, (at - begin).count());
+        REQUIRE(known_after.contains(i));
+        CHECK(known_after[i] <= 1s);
+    }
+    CHECK(test->calls() <= 3 * static_cast<int>(lost.size()));
+}
+
 SCENARIO("with hundreds of VMs and no news, no VM talks more than the operators allow for control", "[scale]")
 {
     auto test = make_large_fleet(340);
