Answer requests that reached the system before a listener stops

One of the failures that operators of similar systems reported: requests that had just been accepted were cut off during a planned stop. Tried at the level of the listener, before the mend: a connection that waited to be accepted was reset with its request, a request that the system held on a kept connection was never read, half a request did not count as open, so the process could end within it, and a client that had just connected was closed before it could send.

A listener that stops now accepts what waits, reads what the system holds, and counts half read requests as open; a connection without a first request yet is waited for half a second. Ruled out: the gateway's notice time, which only makes it rarer.

--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -86,11 +86,13 @@
     void set_limits(const server_limits& limits) { limits_ = limits; }
     /// From now on each answer is the last on its connection.
     void close_after_answers() { closing_ = true; }
-    /// Takes no more connections and closes those that wait for a request.
+    /// Takes no more connections than the system has by now, and closes those that wait for a further request. A
+    /// client that has just connected gets a moment to send its first one.
     void stop();
     /// @return connections that are open.
     std::size_t connections() const { return connections_.size(); }
-    /// @return requests that are read and not answered yet.
+    /// @return requests that are not answered yet, read or half read; while the listener stops, also connections whose
+    /// first request may be on its way.
     std::size_t open_exchanges() const;
     /// @return connections whose last bytes their clients have not taken yet.
     std::size_t lingering() const;
--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -55,6 +55,8 @@
     void forget_sent() { has_sent_ = false; }
     /// Stops or goes on reading; the end of a paused connection is still noticed when it is reset.
     void pause_reading(bool paused);
+    /// Tells the owner now of what the system has received, up to one read of it, rather than from the loop.
+    void read_now();
     /// Closes at once. Unsent bytes are lost, and unread bytes make the system reset the connection.
     void close();
     /// Sends what is unsent, then ends the connection so that the peer can read all of it: reads on for a while and
@@ -100,9 +102,12 @@
 
     /// @return "ip:port" with the port that was picked.
     std::string address() const;
+    /// Accepts all connections that are open by now: closing the listener would reset those that still wait.
+    void accept_waiting();
 
 private:
-    void accept_all();
+    /// @return whether a connection was accepted.
+    bool accept_one();
 
     event_loop& loop_;
     int descriptor_;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -183,6 +183,9 @@
 void http_listener::stop()
 {
     closing_ = true;
+    if (listener_) {
+        listener_->accept_waiting();
+    }
     listener_.reset();
     const auto connections = connections_;
     for (const auto& connection : connections) {
@@ -194,7 +197,7 @@
 {
     std::size_t open = 0;
     for (const auto& connection : connections_) {
-        open += connection->is_busy() ? 1 : 0;
+        open += connection->may_have_request() ? 1 : 0;
     }
     return open;
 }
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -3,6 +3,7 @@
 
 #include <agatespar/telemetry/log.h>
 
+#include <algorithm>
 #include <cassert>
 
 namespace agatespar {
@@ -10,6 +11,10 @@
 // Bytes of further requests that a client may send ahead while its request is answered; reading pauses beyond.
 static constexpr std::size_t most_ahead = 64 * 1024;
 
+// A client sends its first request within a round trip of its connection being open; some hundred milliseconds between
+// far zones.
+static constexpr std::chrono::milliseconds first_request_time{500};
+
 static constexpr int status_timeout = 408;
 static constexpr int status_bad_request = 400;
 static constexpr int status_body_too_large = 413;
@@ -55,6 +60,8 @@
 void server_connection::read_request()
 {
     if (!reader_) {
+        had_request_ = true;
+        awaits_first_ = false;
         began_ = loop_.time().now();
         body_.clear();
         reader_.emplace(listener_->limits_.message, message_callbacks<http_request_head>{
@@ -140,9 +147,17 @@
 
 void server_connection::close_if_idle()
 {
-    if (!is_busy() && !reader_ && input_.empty()) {
+    const auto self = shared_from_this();
+    stream_->read_now();
+    if (listener_ == nullptr || is_busy() || reader_ || !input_.empty()) {
+        return;
+    }
+    if (had_request_) {
         close_when_sent();
+        return;
     }
+    awaits_first_ = true;
+    start_timer(std::min(listener_->limits_.idle_time, first_request_time), 0);
 }
 
 void server_connection::on_end()
@@ -191,6 +206,7 @@
 void server_connection::forget()
 {
     stop_timer();
+    awaits_first_ = false;
     if (listener_ != nullptr) {
         auto* listener = listener_;
         listener_ = nullptr;
--- a/lib/http/server_connection.h
+++ b/lib/http/server_connection.h
@@ -22,6 +22,10 @@
     void end_exchange(bool keep_alive);
     void break_off();
     bool is_busy() const { return !exchange_.expired(); }
+    /// @return whether a request is answered, read, or, while the listener stops, may be on its way.
+    bool may_have_request() const { return is_busy() || reader_ || awaits_first_; }
+    /// Ends the connection unless a request has reached the system by now. A client that has just connected gets a
+    /// moment to send its first one.
     void close_if_idle();
     /// The listener is gone; nothing of it may be touched any more.
     void detach();
@@ -48,6 +52,9 @@
     std::string body_;
     steady_time began_;
     bool head_keeps_alive_{true};
+    bool had_request_{false};
+    /// The listener stops, and the first request may be on its way.
+    bool awaits_first_{false};
     std::weak_ptr<server_exchange> exchange_;
     std::optional<timer_id> timer_;
 };
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -177,6 +177,13 @@
     end(count == 0 ? stream_end::closed : stream_end::broken);
 }
 
+void tcp_stream::read_now()
+{
+    if (is_open() && !connecting_ && !paused_) {
+        read_available();
+    }
+}
+
 void tcp_stream::write(std::string_view bytes)
 {
     if (!is_open() || bytes.empty()) {
@@ -301,7 +308,7 @@
 
 tcp_listener::tcp_listener(event_loop& loop, int descriptor, accept_callback on_accept)
     : loop_(loop), descriptor_(descriptor), on_accept_(std::move(on_accept)),
-      watch_(descriptor, [this](descriptor_events) { accept_all(); })
+      watch_(descriptor, [this](descriptor_events) { accept_one(); })
 {
     watch_.wait_for(true, false);
 }
@@ -323,17 +330,24 @@
     return std::string{text.data()} + ":" + std::to_string(ntohs(bound.sin_port));
 }
 
-void tcp_listener::accept_all()
+void tcp_listener::accept_waiting()
 {
-    // A callback may end the listener, so at most a few connections are taken in a turn and none after it.
+    while (accept_one()) {
+    }
+}
+
+bool tcp_listener::accept_one()
+{
+    // A callback may end the listener, so nothing of it is touched after the call.
     const int accepted = accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (accepted >= 0) {
         on_accept_(tcp_stream::adopt(loop_, accepted));
-        return;
+        return true;
     }
     if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED) {
         log_event(log_severity::warning, "accept_failed", {{"reason", std::strerror(errno)}});
     }
+    return false;
 }
 
 } // namespace agatespar
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -3,6 +3,13 @@
 
 #include <agatespar/http/server.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+
 using namespace agatespar;
 using namespace agatespar::test;
 using namespace std::chrono_literals;
@@ -37,6 +44,34 @@
     }
 };
 
+/// A client whose bytes are with the system before the listener's loop runs.
+struct hasty_client {
+    int descriptor{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+
+    explicit hasty_client(const std::string& address)
+    {
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0);
+    }
+    hasty_client(const hasty_client&) = delete;
+    hasty_client& operator=(const hasty_client&) = delete;
+    ~hasty_client() { close(descriptor); }
+    void send_text(const std::string& text) const
+    {
+        REQUIRE(send(descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+    /// @return what has arrived by now.
+    std::string receive_text() const
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return {buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0};
+    }
+};
+
 } // namespace
 
 SCENARIO("a kept connection carries one request after the other")
@@ -152,3 +187,73 @@
     test.wait_for_end();
     run_until(test.loop, [&test] { return test.listener->lingering() == 0; });
 }
+
+SCENARIO("a listener that stops answers what had reached the system before it did")
+{
+    // Pattern: a planned stop under load, where clients connect and send in the moment that the listener ends.
+    const std::string request = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+    served test;
+    const auto answer_late_one = [&test](std::size_t number) {
+        test.wait_for_requests(number);
+        CHECK(test.exchanges.back()->head().target == "/late");
+        CHECK(test.listener->open_exchanges() == 1);
+        test.exchanges.back()->answer(own_answer(200), "late");
+        CHECK(test.listener->open_exchanges() == 0);
+    };
+
+    WHEN("a connection still waits to be accepted, with a request")
+    {
+        test.client.stream->close();
+        run_until(test.loop, [&test] { return test.listener->connections() == 0; });
+        const hasty_client late{test.listener->address()};
+        late.send_text(request);
+        test.listener->stop();
+        answer_late_one(1);
+        std::string received;
+        run_until(test.loop, [&] {
+            received += late.receive_text();
+            return received.find("Connection: close") != std::string::npos;
+        });
+    }
+    WHEN("a kept connection has a request that was not read yet")
+    {
+        test.client.stream->write("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        test.wait_for_requests(1);
+        test.exchanges[0]->answer(own_answer(200), "first");
+        test.wait_for_text("first");
+        test.client.stream->write(request);
+        test.listener->stop();
+        answer_late_one(2);
+        test.wait_for_text("Connection: close");
+    }
+    WHEN("half of a request was read")
+    {
+        test.client.stream->write(request.substr(0, 10));
+        run_until(test.loop, [&test] { return test.client.connected && test.client.stream->unsent() == 0; });
+        const steady_time sent = test.loop.time().now();
+        run_until(test.loop, [&] { return test.loop.time().now() - sent > 20ms; });
+        test.listener->stop();
+        CHECK(test.listener->open_exchanges() == 1);
+        test.client.stream->write(request.substr(10));
+        answer_late_one(1);
+        test.wait_for_text("Connection: close");
+    }
+    WHEN("a client has just connected")
+    {
+        run_until(test.loop, [&test] { return test.client.connected; });
+        test.listener->stop();
+        THEN("its request, which may be on its way, is waited for")
+        {
+            CHECK(test.listener->open_exchanges() == 1);
+            test.client.stream->write(request);
+            answer_late_one(1);
+            test.wait_for_text("Connection: close");
+        }
+        THEN("it is not waited for long")
+        {
+            test.wait_for_end();
+            CHECK(test.client.ended == stream_end::closed);
+            CHECK(test.listener->open_exchanges() == 0);
+        }
+    }
+}
