--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -119,6 +119,7 @@
     std::size_t told_staying_{0};
     std::optional<steady_time> told_at_;
     std::optional<steady_time> stop_seen_;
+    bool weighed_{true};
     answer_tally told_;
 };
 
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -92,7 +92,7 @@
             usual->second += newest_weight * (seconds - usual->second);
         }
     }
-    weigh(now);
+    weighed_ = false;
 }
 
 /// Counts an answer of the old version that this VM saw.
@@ -121,9 +121,12 @@
     return sum;
 }
 
-/// Judges the new version by all that is known.
+/// Judges the new version by all that is known, once for all answers that came since.
 void rollout_watch::weigh(steady_time now)
 {
+    if (std::exchange(weighed_, true)) {
+        return;
+    }
     if (!guard_.update(counts_, beside_).stop) {
         stop_seen_.reset();
     }
@@ -151,7 +154,7 @@
         beside_.good += evidence.others_good_beside;
         beside_.bad += evidence.others_bad_beside;
     }
-    weigh(now);
+    weighed_ = false;
 }
 
 std::optional<rollout_evidence> rollout_watch::next_evidence(steady_time now)
@@ -194,6 +197,7 @@
     if (state_ != rollout_state::in_progress) {
         return std::nullopt;
     }
+    weigh(now);
     const auto delay = own_delay_ / 2 + (reads_store ? std::chrono::milliseconds{0} : settings_.report_spread / 2);
     if (stop_seen_) {
         // The others would be refused: only the first report is taken.
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -62,8 +62,10 @@
             }
         }
         for (; !evidence.empty() && evidence.front().arrives <= time.now(); evidence.pop_front()) {
+            const auto told = read_evidence(evidence.front().record);
+            REQUIRE(told);
             for (rollout_watch& other : vms) {
-                other.take_evidence(*read_evidence(evidence.front().record), time.now());
+                other.take_evidence(*told, time.now());
             }
         }
         for (rollout_watch& vm : vms) {
