Give each VM its own turn at a cold server

With 300 VMs each one's share of the 11 requests a second that a cold server bears is 0.03, and all began to count at the same moment: for the 3 s that a server is cold nobody sent anything, while after 34 s all would have sent in the same second, and shares that were saved up while a server got nothing could be spent at once (30 VMs: some 30 in a second, 21.5 allowed).

VMs now count from different places, by their rank in the list for this server and start, so turns follow each other evenly; more than a dozen VMs lose a turn that is not used within a second.

--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -137,6 +137,8 @@
     bool reads_store() const { return reads_store_; }
     /// @return in a word why this VM goes to the store itself, or that it does not.
     const char* role() const { return role_; }
+    /// @return this VM's place in an order of all listed ones that differs between matters, as a part of their number.
+    double place_of_turn(std::uint64_t matter) const;
     /// @return VMs that are listed.
     std::size_t vms() const { return vms_.size(); }
 
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -34,8 +34,9 @@
     std::uint32_t failures{0};
     /// Not chosen before this while others can be.
     steady_time avoid_until;
-    /// Requests that this VM may still send to it while it is cold, refilled over time.
-    double cold_tokens{0};
+    /// Turns that this VM has had and not used to send a request to it while it is cold, and the part of the next one
+    /// that has passed.
+    double cold_turns{0};
     steady_time cold_refilled;
 };
 
@@ -60,7 +61,8 @@
     explicit server_directory(const directory_settings& settings = {}) : settings_(settings) {}
 
     /// Takes in what a server says of itself. A new start under an old name, or another address, is a new server.
-    void set(const server_record& record, steady_time now);
+    /// @param place of this VM's turn among all VMs, in [0, 1), if the server is cold.
+    void set(const server_record& record, double place, steady_time now);
     /// The server's entry is gone. Right after an outage of the store it may only have lapsed.
     void remove(const server_name& name, steady_time now);
     /// The store of the entries stopped to answer this VM, or answers it again.
@@ -106,8 +108,10 @@
 /// The server did not answer as a sound one does. It is avoided for a while that doubles with each failure in a row.
 void note_failure(fleet_server& server, steady_time now);
 
-/// Takes one request from what this VM may send to a cold server. @param rate requests a second, this VM's share.
+/// Takes this VM's turn to send a request to a cold server. Turns of VMs follow each other evenly; of many VMs a turn
+/// that is not used soon is lost, as all of them could use theirs in the same second.
+/// @param rate requests a second that all VMs together may send. @param vms among which they are divided.
 /// @return whether it may be sent.
-bool take_cold_token(fleet_server& server, double rate, steady_time now);
+bool take_cold_turn(fleet_server& server, double rate, double vms, steady_time now);
 
 } // namespace agatespar
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -132,6 +132,10 @@
         loop_, store_, relay,
         record_relay::follower_set{orders_.get(), servers_.get(), reports_.get(), evidence_.get(), vms_.get()},
         open_link);
+    fleet_.set_cold_place([this](const server_record& server) {
+        return relay_->place_of_turn(
+            combine_hashes(stable_hash(server.name.value()), static_cast<std::uint64_t>(server.born)));
+    });
 }
 
 void gateway::note_reachable(fleet_topic topic, bool reachable, const std::string& reason, steady_time since)
--- a/lib/gateway/record_relay.cpp
+++ b/lib/gateway/record_relay.cpp
@@ -6,6 +6,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatespar {
 
@@ -202,6 +203,18 @@
     log_event(log_severity::info, "peer_link_opened", {{"address", link_->address}});
 }
 
+double record_relay::place_of_turn(std::uint64_t matter) const
+{
+    const std::uint64_t own = combine_hashes(stable_hash(settings_.self.name), matter);
+    if (vms_.empty()) {
+        return static_cast<double>(own) / std::pow(2.0, 64);
+    }
+    const auto before = std::count_if(vms_.begin(), vms_.end(), [own, matter](const auto& entry) {
+        return combine_hashes(stable_hash(entry.first), matter) < own;
+    });
+    return static_cast<double>(before) / static_cast<double>(vms_.size() + 1);
+}
+
 bool record_relay::is_silent(const std::string& name) const
 {
     const auto found = silences_.find(name);
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -2,6 +2,7 @@
 #include <agatespar/gateway/server_directory.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace agatespar {
 
@@ -22,8 +23,12 @@
 static constexpr std::chrono::milliseconds report_memory{1500};
 // One in this many servers must have gone at once for an outage to explain it.
 static constexpr std::size_t lapsed_part = 4;
-// A cold server takes one request at once, even at rates far below one a second.
-static constexpr double most_cold_tokens = 1;
+// VMs that may save a turn for as long as it takes: a dozen requests at once are within what the operators allow beyond
+// a cold server's rate of ten or so.
+static constexpr double few_vms = 16;
+// Others lose a turn after this: the turns of two seconds are within the operators' one and a half times the rate and
+// five.
+static constexpr std::chrono::milliseconds turn_time{1000};
 
 std::uint32_t estimated_load(const fleet_server& server, steady_time now)
 {
@@ -41,7 +46,7 @@
     return own + (fresh ? waiting_weight * server.reported.waiting : 0);
 }
 
-void server_directory::set(const server_record& record, steady_time now)
+void server_directory::set(const server_record& record, double place, steady_time now)
 {
     lapsing_.erase(record.name);
     // A store that took this had not just come back from an outage of its own, or its outage is over for all: what is
@@ -58,8 +63,9 @@
         known->cold_refilled = now;
     }
     if (record.cold_left.count() > 0 && known->cold_until <= now) {
-        // Nothing is saved up while it is warm: hundreds of VMs would spend it in the same second.
-        known->cold_tokens = 0;
+        // Nothing is saved up while it is warm: hundreds of VMs would spend it in the same second. Their turns begin at
+        // different places, as one of them may have none in all the time that the server is cold.
+        known->cold_turns = place;
         known->cold_refilled = now;
     }
     known->record = record;
@@ -157,16 +163,18 @@
     server.avoid_until = now + avoidance;
 }
 
-bool take_cold_token(fleet_server& server, double rate, steady_time now)
+bool take_cold_turn(fleet_server& server, double rate, double vms, steady_time now)
 {
-    const double elapsed = std::chrono::duration<double>(now - server.cold_refilled).count();
-    server.cold_tokens = std::min(most_cold_tokens, server.cold_tokens + elapsed * rate);
+    const double turns_a_second = rate / vms;
+    server.cold_turns += std::chrono::duration<double>(now - server.cold_refilled).count() * turns_a_second;
     server.cold_refilled = now;
-    if (server.cold_tokens < 1) {
+    if (server.cold_turns < 1) {
         return false;
     }
-    server.cold_tokens -= 1;
-    return true;
+    // Of those that were not used only the last one counts.
+    const double since_turn = std::fmod(server.cold_turns, 1.0);
+    server.cold_turns = since_turn;
+    return vms <= few_vms || since_turn / turns_a_second <= std::chrono::duration<double>(turn_time).count();
 }
 
 } // namespace agatespar
--- a/lib/gateway/transparent_run_send.cpp
+++ b/lib/gateway/transparent_run_send.cpp
@@ -50,7 +50,7 @@
     auto server = servers[*chosen];
     const auto service = map_->services.find(service_);
     const double cold_rate = service == map_->services.end() ? 0 : service->second.cold_rate;
-    if (server->cold_until > now && cold_rate > 0 && !take_cold_token(*server, cold_rate / owner_.assumed_vms(), now)) {
+    if (server->cold_until > now && cold_rate > 0 && !take_cold_turn(*server, cold_rate, owner_.assumed_vms(), now)) {
         return nullptr;
     }
     note_attempt(*server, servers.size());
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -156,12 +156,12 @@
     record.version = version_name{"v2"};
     const steady_time now{1h};
     CHECK(!directory.serves(record.service, record.version));
-    directory.set(record, now);
+    directory.set(record, 0, now);
     CHECK(directory.serves(record.service, record.version));
     CHECK(!directory.serves(record.service, version_name{"v1"}));
     CHECK(!directory.serves(service_name{"two"}, record.version));
     record.leaving = true;
-    directory.set(record, now);
+    directory.set(record, 0, now);
     CHECK(!directory.serves(record.service, record.version));
 }
 
@@ -170,7 +170,7 @@
     manual_clock time;
     server_directory directory;
     const server_name name{"s"};
-    directory.set(make_record("s"), time.now());
+    directory.set(make_record("s"), 0, time.now());
 
     WHEN("the store was there all along, the server has left")
     {
@@ -187,7 +187,7 @@
         THEN("the server that puts it back is kept")
         {
             time.advance(2s);
-            directory.set(make_record("s"), time.now());
+            directory.set(make_record("s"), 0, time.now());
             time.advance(2s);
             CHECK(directory.expire(time.now()).empty());
             CHECK(directory.all().size() == 1);
@@ -207,14 +207,14 @@
         directory.note_store_lost(time.now());
         time.advance(4s);
         directory.note_store_back(time.now());
-        directory.set(make_record("newcomer"), time.now());
+        directory.set(make_record("newcomer"), 0, time.now());
         directory.remove(name, time.now());
         CHECK(directory.all().size() == 1);
     }
     WHEN("one of many is gone after an outage, it has left; others would have lapsed with it")
     {
         for (const char* other : {"a", "b", "c", "d", "e"}) {
-            directory.set(make_record(other), time.now());
+            directory.set(make_record(other), 0, time.now());
         }
         directory.note_store_lost(time.now());
         time.advance(4s);
@@ -235,7 +235,7 @@
     {
         auto record = make_record("s");
         record.leaving = true;
-        directory.set(record, time.now());
+        directory.set(record, 0, time.now());
         directory.note_store_lost(time.now());
         time.advance(4s);
         directory.note_store_back(time.now());
@@ -250,13 +250,13 @@
     server_directory directory;
     auto record = make_record("s");
     record.born = 1;
-    directory.set(record, time.now());
+    directory.set(record, 0, time.now());
     const auto before = directory.all().begin()->second;
     before->in_flight = 3;
-    directory.set(record, time.now());
+    directory.set(record, 0, time.now());
     CHECK(directory.all().begin()->second == before);
     record.born = 2;
-    directory.set(record, time.now());
+    directory.set(record, 0, time.now());
     CHECK(directory.all().begin()->second != before);
     CHECK(directory.all().begin()->second->in_flight == 0);
     CHECK(before->gone);
@@ -310,7 +310,7 @@
     int sent = 0;
     for (int i = 0; i < 1000; ++i) {
         time.advance(10ms);
-        sent += take_cold_token(server, 2.0, time.now()) ? 1 : 0;
+        sent += take_cold_turn(server, 32.0, 16, time.now()) ? 1 : 0;
     }
     // Two a second for ten seconds.
     CHECK(sent >= 19);
@@ -326,27 +326,26 @@
     server_record record = make_record("a");
     std::vector<server_directory> directories(vms);
     for (server_directory& directory : directories) {
-        directory.set(record, time.now());
+        directory.set(record, 0, time.now());
     }
     time.advance(60s);
     record.cold_left = 3000ms;
     for (server_directory& directory : directories) {
-        directory.set(record, time.now());
+        directory.set(record, 0, time.now());
     }
     int sent = 0;
     for (int step = 0; step < 10; ++step) {
         time.advance(100ms);
         for (server_directory& directory : directories) {
             fleet_server& server = *directory.all().begin()->second;
-            sent += take_cold_token(server, rate / (1.25 * vms), time.now()) ? 1 : 0;
+            sent += take_cold_turn(server, rate, 1.25 * vms, time.now()) ? 1 : 0;
         }
     }
     // What the users allow in one second.
     CHECK(sent <= rate * 1.5 + 5);
 }
 
-SCENARIO("hundreds of VMs keep the bound of a cold server, whenever they hear of it and however many they take "
-         "themselves for")
+SCENARIO("hundreds of VMs keep a cold server's bound, whenever they hear of it")
 {
     // Pattern: a server turns cold time and again, and each VM has a request for it at every moment.
     const int seed = GENERATE(range(1, 6));
@@ -359,8 +358,11 @@
     constexpr int steps_a_second = 50;
     // The list has grown from 170 within seconds; some know of it, others do not yet.
     std::vector<double> assumed(vms);
-    for (double& each : assumed) {
-        each = 1.25 * static_cast<double>(std::uniform_int_distribution<int>{230, 300}(random));
+    std::vector<double> places(vms);
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        assumed[vm] = 1.25 * static_cast<double>(std::uniform_int_distribution<int>{230, 300}(random));
+        // Each sees a part of the others before itself.
+        places[vm] = static_cast<double>(vm) / vms * std::uniform_real_distribution<double>{0.95, 1}(random);
     }
     std::vector<server_directory> directories(vms);
     std::vector<int> heard_at(vms);
@@ -378,11 +380,11 @@
             if (since_cold == heard_at[vm]) {
                 server_record record = make_record("a");
                 record.cold_left = 10s;
-                directories[vm].set(record, time.now());
+                directories[vm].set(record, places[vm], time.now());
             }
             const auto& known = directories[vm].all();
             if (!known.empty() && known.begin()->second->cold_until > time.now()) {
-                sent_now += take_cold_token(*known.begin()->second, rate / assumed[vm], time.now()) ? 1 : 0;
+                sent_now += take_cold_turn(*known.begin()->second, rate, assumed[vm], time.now()) ? 1 : 0;
             }
         }
         sent.push_back(sent_now);
@@ -394,7 +396,7 @@
     }
 }
 
-SCENARIO("hundreds of VMs use what a cold server bears", "[cold-use]")
+SCENARIO("hundreds of VMs use what a cold server bears")
 {
     // Pattern: half of all servers are back after a crash, cold for three seconds, and all requests wait for them.
     manual_clock time;
@@ -403,20 +405,46 @@
     server_record record = make_record("a");
     record.cold_left = 3s;
     std::vector<server_directory> directories(vms);
-    for (server_directory& directory : directories) {
-        directory.set(record, time.now());
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        directories[vm].set(record, static_cast<double>(vm) / vms, time.now());
     }
     int sent = 0;
     for (int i = 0; i < 150; ++i) {
         time.advance(20ms);
         for (server_directory& directory : directories) {
-            sent += take_cold_token(*directory.all().begin()->second, rate / (1.25 * vms), time.now()) ? 1 : 0;
+            sent += take_cold_turn(*directory.all().begin()->second, rate, 1.25 * vms, time.now()) ? 1 : 0;
         }
     }
     // A bound that is kept by never using it is a loss: half of what the users allow.
     CHECK(sent >= 0.5 * 3 * rate);
 }
 
+SCENARIO("turns at a cold server that nobody used are not all used in one second")
+{
+    // Pattern: a cold server is asked by nobody while there are warm ones; when these fail, all VMs turn to it at once.
+    const std::size_t vms = GENERATE(9, 17, 30, 75, 300);
+    const std::chrono::seconds idle{GENERATE(2, 3, 10, 60)};
+    CAPTURE(vms, idle.count());
+    manual_clock time;
+    constexpr double rate = 11;
+    const double assumed = std::max(16.0, 1.25 * static_cast<double>(vms));
+    server_record record = make_record("a");
+    record.cold_left = 120s;
+    std::vector<server_directory> directories(vms);
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        directories[vm].set(record, static_cast<double>(vm) / static_cast<double>(vms), time.now());
+    }
+    time.advance(idle);
+    int sent = 0;
+    for (int i = 0; i < 50; ++i) {
+        time.advance(20ms);
+        for (server_directory& directory : directories) {
+            sent += take_cold_turn(*directory.all().begin()->second, rate, assumed, time.now()) ? 1 : 0;
+        }
+    }
+    CHECK(sent <= rate * 1.5 + 5);
+}
+
 SCENARIO("servers are narrowed to those that may take a request")
 {
     manual_clock time;
