--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -69,7 +69,7 @@
     /// A reader that wrote a row does not write it again for this, while it is on its way back.
     std::chrono::milliseconds row_memory{3000};
     /// A VM that starts and was told nothing for this asks a VM drawn from the whole list, as those above it may be
-    /// starting too: news come within a third of it where somebody has them.
+    /// starting too. Whoever has the records answers within some 50 ms, with a list of thousands of servers.
     std::chrono::milliseconds help_time{250};
     /// Between the first questions of a VM that does not know all yet and serves nobody; then twice as long each time.
     std::chrono::milliseconds start_interval{50};
