Ask for a VM's turn only where a server turns cold, and keep no copy of counts

The turn at a cold server was worked out for each record of each server, over the whole list of VMs, and used only for those that turn cold: 3,000 servers times 300 VMs at each start. The directory now asks for it where it is used. Whether a VM's row of evidence is new follows from the counts that it is merged into, so the map beside them goes. Whether a VM was asked is found by the search that exists.

--- a/include/agatespar/gateway/fleet_state.h
+++ b/include/agatespar/gateway/fleet_state.h
@@ -24,8 +24,10 @@
     {
     }
 
-    /// @param place of this VM's turn at a cold server among all VMs, in [0, 1).
-    void set_cold_place(std::function<double(const server_record& server)> place) { cold_place_ = std::move(place); }
+    void set_cold_place(std::function<double(const server_record& server)> place)
+    {
+        directory_.set_cold_place(std::move(place));
+    }
     /// Holds for roll-outs that are ordered from now on.
     void change_rollout_settings(const rollout_settings& rollouts)
     {
@@ -63,7 +65,6 @@
     recent_sessions sessions_;
     std::shared_ptr<const service_map> map_;
     server_directory directory_;
-    std::function<double(const server_record& server)> cold_place_{[](const server_record&) { return 0.0; }};
     std::set<zone_name> evacuated_;
     std::map<service_name, rollout_watch> rollouts_;
     std::map<service_name, rollout_report> reports_;
--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -222,7 +222,7 @@
     const listed_vm* choose_helper();
     void ask_helper();
     /// @return whether this VM asked a VM at this address.
-    bool was_asked(const std::string& address) const;
+    bool was_asked(const std::string& address);
     void receive(const std::string& from, message_kind kind, std::string_view payload);
     void take_pull(const std::string& from, records_pull pull);
     void gather_row(const row_to_write& row);
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -109,8 +109,6 @@
     answer_tally beside_;
     /// This VM's answers of the last moments that the others were not told of.
     std::deque<dated_tally> untold_beside_;
-    /// All of the old version's answers by VM when it last told, as its row may come again.
-    std::unordered_map<std::uint64_t, std::uint64_t> told_others_;
     /// When a bad answer of the new version was last seen or told of.
     std::optional<steady_time> bad_at_;
     std::unordered_map<std::string, double> usual_seconds_;
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -5,6 +5,7 @@
 #include <agatespar/gateway/protocol.h>
 #include <agatespar/support/clock.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -61,8 +62,9 @@
     explicit server_directory(const directory_settings& settings = {}) : settings_(settings) {}
 
     /// Takes in what a server says of itself. A new start under an old name, or another address, is a new server.
-    /// @param place of this VM's turn among all VMs, in [0, 1), if the server is cold.
-    void set(const server_record& record, double place, steady_time now);
+    void set(const server_record& record, steady_time now);
+    /// @param place of this VM's turn at a cold server among all VMs, in [0, 1). Asked when a server turns cold.
+    void set_cold_place(std::function<double(const server_record& server)> place) { cold_place_ = std::move(place); }
     /// The server's entry is gone. Right after an outage of the store it may only have lapsed.
     void remove(const server_name& name, steady_time now);
     /// The store of the entries stopped to answer this VM, or answers it again.
@@ -79,6 +81,7 @@
     directory_settings settings_;
     std::map<server_name, std::shared_ptr<fleet_server>> servers_;
     std::map<server_name, steady_time> lapsing_;
+    std::function<double(const server_record& server)> cold_place_{[](const server_record&) { return 0.0; }};
     std::optional<steady_time> store_lost_at_;
     std::optional<steady_time> store_back_at_;
 };
--- a/lib/gateway/fleet_state.cpp
+++ b/lib/gateway/fleet_state.cpp
@@ -145,7 +145,7 @@
     }
     const auto known = directory_.all().find(name);
     const bool news = known == directory_.all().end() || known->second->record.leaving != server->leaving;
-    directory_.set(*server, cold_place_(*server), now);
+    directory_.set(*server, now);
     if (news) {
         log_event(log_severity::info, server->leaving ? "server_leaving" : "server_ready",
                   {{"server", record.key},
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -76,13 +76,6 @@
     link_->send(helper->address, message_kind::records_pull, encode(make_pull()));
 }
 
-bool record_relay::was_asked(const std::string& address) const
-{
-    return helpers_.contains(address) || std::any_of(sources_.begin(), sources_.end(), [&address](const source& each) {
-               return each.vm.address == address;
-           });
-}
-
 void record_relay::receive(const std::string& from, message_kind kind, std::string_view payload)
 {
     if (kind == message_kind::records_pull) {
@@ -361,6 +354,11 @@
     return known == sources_.end() ? nullptr : &*known;
 }
 
+bool record_relay::was_asked(const std::string& address)
+{
+    return helpers_.contains(address) || source_at(address) != nullptr;
+}
+
 void record_relay::take_topic(const std::string& from, const topic_news& topic)
 {
     if (!was_asked(from)) {
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -142,18 +142,18 @@
     }
     const std::array<answer_tally, versions> row{answer_tally{evidence.others_good, evidence.others_bad},
                                                  answer_tally{evidence.target_good, evidence.target_bad}};
-    const std::uint64_t bad_before = counts_.total(target_index, only_class).bad;
+    const answer_tally target_before = counts_.total(target_index, only_class);
+    const answer_tally others_before = counts_.total(others_index, only_class);
     counts_.merge(boot_id{evidence.vm}, row);
-    if (counts_.total(target_index, only_class).bad > bad_before) {
+    if (counts_.total(target_index, only_class).bad > target_before.bad) {
         bad_at_ = now;
     }
-    staying_.insert(evidence.staying.begin(), evidence.staying.end());
-    std::uint64_t& told_others = told_others_[evidence.vm];
-    if (const std::uint64_t others = evidence.others_good + evidence.others_bad; others > told_others) {
-        told_others = others;
+    // A row may come again.
+    if (counts_.total(others_index, only_class) != others_before) {
         beside_.good += evidence.others_good_beside;
         beside_.bad += evidence.others_bad_beside;
     }
+    staying_.insert(evidence.staying.begin(), evidence.staying.end());
     weighed_ = false;
 }
 
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -46,7 +46,7 @@
     return own + (fresh ? waiting_weight * server.reported.waiting : 0);
 }
 
-void server_directory::set(const server_record& record, double place, steady_time now)
+void server_directory::set(const server_record& record, steady_time now)
 {
     lapsing_.erase(record.name);
     // A store that took this had not just come back from an outage of its own, or its outage is over for all: what is
@@ -65,7 +65,7 @@
     if (record.cold_left.count() > 0 && known->cold_until <= now) {
         // Nothing is saved up while it is warm: hundreds of VMs would spend it in the same second. Their turns begin at
         // different places, as one of them may have none in all the time that the server is cold.
-        known->cold_turns = place;
+        known->cold_turns = cold_place_(record);
         known->cold_refilled = now;
     }
     known->record = record;
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -156,12 +156,12 @@
     record.version = version_name{"v2"};
     const steady_time now{1h};
     CHECK(!directory.serves(record.service, record.version));
-    directory.set(record, 0, now);
+    directory.set(record, now);
     CHECK(directory.serves(record.service, record.version));
     CHECK(!directory.serves(record.service, version_name{"v1"}));
     CHECK(!directory.serves(service_name{"two"}, record.version));
     record.leaving = true;
-    directory.set(record, 0, now);
+    directory.set(record, now);
     CHECK(!directory.serves(record.service, record.version));
 }
 
@@ -170,7 +170,7 @@
     manual_clock time;
     server_directory directory;
     const server_name name{"s"};
-    directory.set(make_record("s"), 0, time.now());
+    directory.set(make_record("s"), time.now());
 
     WHEN("the store was there all along, the server has left")
     {
@@ -187,7 +187,7 @@
         THEN("the server that puts it back is kept")
         {
             time.advance(2s);
-            directory.set(make_record("s"), 0, time.now());
+            directory.set(make_record("s"), time.now());
             time.advance(2s);
             CHECK(directory.expire(time.now()).empty());
             CHECK(directory.all().size() == 1);
@@ -207,14 +207,14 @@
         directory.note_store_lost(time.now());
         time.advance(4s);
         directory.note_store_back(time.now());
-        directory.set(make_record("newcomer"), 0, time.now());
+        directory.set(make_record("newcomer"), time.now());
         directory.remove(name, time.now());
         CHECK(directory.all().size() == 1);
     }
     WHEN("one of many is gone after an outage, it has left; others would have lapsed with it")
     {
         for (const char* other : {"a", "b", "c", "d", "e"}) {
-            directory.set(make_record(other), 0, time.now());
+            directory.set(make_record(other), time.now());
         }
         directory.note_store_lost(time.now());
         time.advance(4s);
@@ -235,7 +235,7 @@
     {
         auto record = make_record("s");
         record.leaving = true;
-        directory.set(record, 0, time.now());
+        directory.set(record, time.now());
         directory.note_store_lost(time.now());
         time.advance(4s);
         directory.note_store_back(time.now());
@@ -250,13 +250,13 @@
     server_directory directory;
     auto record = make_record("s");
     record.born = 1;
-    directory.set(record, 0, time.now());
+    directory.set(record, time.now());
     const auto before = directory.all().begin()->second;
     before->in_flight = 3;
-    directory.set(record, 0, time.now());
+    directory.set(record, time.now());
     CHECK(directory.all().begin()->second == before);
     record.born = 2;
-    directory.set(record, 0, time.now());
+    directory.set(record, time.now());
     CHECK(directory.all().begin()->second != before);
     CHECK(directory.all().begin()->second->in_flight == 0);
     CHECK(before->gone);
@@ -326,12 +326,12 @@
     server_record record = make_record("a");
     std::vector<server_directory> directories(vms);
     for (server_directory& directory : directories) {
-        directory.set(record, 0, time.now());
+        directory.set(record, time.now());
     }
     time.advance(60s);
     record.cold_left = 3000ms;
     for (server_directory& directory : directories) {
-        directory.set(record, 0, time.now());
+        directory.set(record, time.now());
     }
     int sent = 0;
     for (int step = 0; step < 10; ++step) {
@@ -358,13 +358,13 @@
     constexpr int steps_a_second = 50;
     // The list has grown from 170 within seconds; some know of it, others do not yet.
     std::vector<double> assumed(vms);
-    std::vector<double> places(vms);
+    std::vector<server_directory> directories(vms);
     for (std::size_t vm = 0; vm < vms; ++vm) {
         assumed[vm] = 1.25 * static_cast<double>(std::uniform_int_distribution<int>{230, 300}(random));
         // Each sees a part of the others before itself.
-        places[vm] = static_cast<double>(vm) / vms * std::uniform_real_distribution<double>{0.95, 1}(random);
+        const double place = static_cast<double>(vm) / vms * std::uniform_real_distribution<double>{0.95, 1}(random);
+        directories[vm].set_cold_place([place](const server_record&) { return place; });
     }
-    std::vector<server_directory> directories(vms);
     std::vector<int> heard_at(vms);
     std::deque<int> sent;
     for (int now = 0; now < 60 * steps_a_second; ++now) {
@@ -380,7 +380,7 @@
             if (since_cold == heard_at[vm]) {
                 server_record record = make_record("a");
                 record.cold_left = 10s;
-                directories[vm].set(record, places[vm], time.now());
+                directories[vm].set(record, time.now());
             }
             const auto& known = directories[vm].all();
             if (!known.empty() && known.begin()->second->cold_until > time.now()) {
@@ -406,7 +406,8 @@
     record.cold_left = 3s;
     std::vector<server_directory> directories(vms);
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        directories[vm].set(record, static_cast<double>(vm) / vms, time.now());
+        directories[vm].set_cold_place([vm](const server_record&) { return static_cast<double>(vm) / vms; });
+        directories[vm].set(record, time.now());
     }
     int sent = 0;
     for (int i = 0; i < 150; ++i) {
@@ -432,7 +433,9 @@
     record.cold_left = 120s;
     std::vector<server_directory> directories(vms);
     for (std::size_t vm = 0; vm < vms; ++vm) {
-        directories[vm].set(record, static_cast<double>(vm) / static_cast<double>(vms), time.now());
+        directories[vm].set_cold_place(
+            [vm, vms](const server_record&) { return static_cast<double>(vm) / static_cast<double>(vms); });
+        directories[vm].set(record, time.now());
     }
     time.advance(idle);
     int sent = 0;
