--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -178,6 +178,8 @@
         /// Of this VM, which sees to it that the row is written at last.
         bool is_own{false};
         std::optional<steady_time> written_at;
+
+        bool is_unwritten() const { return !written_at; }
     };
     using row_key = std::pair<std::uint8_t, std::string>;
     /// News in the form in which they are sent, for all who lack the same.
@@ -219,7 +221,7 @@
     records_pull make_pull() const;
     void ask_sources();
     /// @return whom this VM is to ask once, as nobody else tells it anything.
-    const listed_vm* choose_helper();
+    const listed_vm* choose_helper() const;
     void ask_helper();
     /// @return whether this VM asked a VM at this address.
     bool was_asked(const std::string& address);
--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -35,7 +35,7 @@
     records_pull pull = make_pull();
     pull.follows = true;
     pull.rows = rows_to_pass_on();
-    std::erase_if(rows_, [](const auto& entry) { return !entry.second.is_own && !entry.second.written_at; });
+    std::erase_if(rows_, [](const auto& entry) { return !entry.second.is_own && entry.second.is_unwritten(); });
     for (source& from : sources_) {
         from.asked = true;
         pull.unheard = now - from.heard_at.value_or(from.since) > settings_.pull_interval;
@@ -47,7 +47,7 @@
     }
 }
 
-const listed_vm* record_relay::choose_helper()
+const listed_vm* record_relay::choose_helper() const
 {
     const steady_time now = loop_.time().now();
     const bool waits = first_asked_at_ && now - *first_asked_at_ >= settings_.help_time &&
--- a/lib/gateway/record_relay_rows.cpp
+++ b/lib/gateway/record_relay_rows.cpp
@@ -62,7 +62,7 @@
             ask_sources();
             return;
         }
-        write_rows([](const pending_row& row) { return !row.written_at; });
+        write_rows(&pending_row::is_unwritten);
     });
 }
 
@@ -76,7 +76,7 @@
 {
     std::vector<row_to_write> rows;
     for (const auto& [key, row] : rows_) {
-        if (!row.written_at) {
+        if (row.is_unwritten()) {
             rows.push_back({key.first, key.second, row.value});
         }
     }
@@ -96,7 +96,7 @@
     // While the store is away nobody writes.
     const bool may_write = !hears_a_source() || hears_store();
     if (may_write && writes_rows() && !row_timer_) {
-        write_rows([](const pending_row& row) { return !row.written_at; });
+        write_rows(&pending_row::is_unwritten);
     }
     write_rows([&](const pending_row& row) {
         const bool waits = now - row.written_at.value_or(row.since) < settings_.row_time;
