Wait until bookings run before a test kills the VM that sends one

The step pauses the server and then books at a VM that has just joined, while the victim of the step before has just died. If one of the two owned the server's permits, the new owner gives none out before a report of the server, which is paused; if one wrote the key's part of the ledger, the claim waits until the server is known to be silent. The call is then refused after 10 s without being sent ("no server", outcome_unknown as the key is the caller's), which is what it should do; the step it was to test never came. Ruled out: load. Before a step the test now waits until the VMs agree who is there and who writes what, and until each has booked once. What it asserts is as before. Conclusion: a fault of the test's set-up.

--- a/test/at_most_once_test.py
+++ b/test/at_most_once_test.py
@@ -54,6 +54,7 @@
             victim = f"victim-{number}"
             self.fleet.start_daemon("kovacic", "centre", victim)
             self.fleet.wait_serving(victim, servers=2)
+            self.wait_booking("vm-1", "vm-2", victim)
             key = new_key()
             die(victim, key)
             self.fleet.forget_daemon(victim)
@@ -67,6 +68,12 @@
             self.assertEqual(self.book("vm-1", key).status, 200)
             self.check(key)
 
+    def wait_booking(self, *vms):
+        """Waits until each VM's bookings run. A new owner of the server's permits gives none out before a report of it."""
+        self.fleet.wait_settled(*vms)
+        for name in vms:
+            wait_until(lambda name=name: self.book(name, new_key()).status == 200, "a booking at " + name)
+
     def die_before_the_claim(self, victim, key):
         self.fleet.faults("log", delay_ms=1500)
         self.book_in_background(victim, key)
@@ -75,9 +82,10 @@
         self.fleet.faults("log", delay_ms=0)
 
     def die_with_an_unread_call(self, victim, key):
+        sent_before = self.fleet.status(victim)["requests"]["attempts"]
         self.fleet.processes[ORDERS].pause()
         self.book_in_background(victim, key)
-        wait_until(lambda: self.fleet.status(victim)["requests"]["attempts"] == 1, "the call to be sent")
+        wait_until(lambda: self.fleet.status(victim)["requests"]["attempts"] > sent_before, "the call to be sent")
         self.fleet.processes[victim].kill()
         self.fleet.processes[ORDERS].resume()
 
--- a/utils/harness/fleet.py
+++ b/utils/harness/fleet.py
@@ -13,6 +13,8 @@
 VM_KEY = "the secret of all test VMs"
 SESSION_SECRET = "the secret of all test sessions"
 OPERATOR_KEY = "operator-key-of-the-tests"
+# As many as `ledger_partition_count` of the library.
+LEDGER_PARTITIONS = 16
 KOVACIC_KEY = "kovacic-front-key"
 KOVACIC_SMALL_KEY = "kovacic-small-key"
 COLOMBES_KEY = "colombes-front-key"
@@ -155,6 +157,20 @@
         for name in vms:
             self.wait_servers(name, servers)
 
+    def wait_settled(self, *vms):
+        """Waits until these entry VMs, and no others, agree who is there and who writes which part of the ledger."""
+
+        def settled():
+            statuses = [self.status(name) for name in vms]
+            members = [sorted(status["members"]) for status in statuses]
+            parts = [part for status in statuses for part in status["ledger_partitions"]]
+            written = sorted(part["partition"] for part in parts if part["ready"])
+            return all(each == members[0] and len(each) == len(vms) for each in members) and written == list(
+                range(LEDGER_PARTITIONS)
+            )
+
+        wait_until(settled, "the VMs to agree who does what")
+
     def wait_answering(self, name):
         """Waits until chat requests run, which they do once the owner of the zone's servers gives out permits."""
         wait_until(lambda: self.chat(name, "Is anyone there?").status == 200, name + " to answer")
