--- a/utils/harness/platform_day.py
+++ b/utils/harness/platform_day.py
@@ -106,16 +106,28 @@
     return rows
 
 
-def bound_of(report, kinds, windows):
+def least_late_loss(report, kinds, servers, window):
+    """The worth that a window loses at the least: work beyond its servers' time is late, what loses least by it first."""
+    counts = {row["name"]: row["n"] for row in report["classes"]}
+    share = window["requests"] / sum(counts.values())
+    loss = 0.0
+    for name, service in servers.items():
+        own = [kind for kind in kinds if kind.service["name"] == name and kind.server_seconds() > 0]
+        excess = sum(counts[kind.name] * share * kind.server_seconds() for kind in own)
+        excess -= count_servers(service) * WINDOW_SECONDS
+        for kind in sorted(own, key=lambda kind: (kind.worth - kind.late_worth) / kind.server_seconds()):
+            late_work = min(max(0.0, excess), counts[kind.name] * share * kind.server_seconds())
+            loss += late_work / kind.server_seconds() * (kind.worth - kind.late_worth)
+            excess -= late_work
+    return loss
+
+
+def bound_of(report, kinds, servers, windows):
     """The most that a day could have been worth, with its terms."""
     counts = {row["name"]: row["n"] - row["not_owed"] for row in report["classes"]}
     owed = sum(counts[kind.name] * kind.worth for kind in kinds)
     credit = sum(counts[kind.name] * kind.worth * (1 - kind.lost_share) for kind in kinds) / owed
-    asked = sum(window["requests"] for window in windows)
-    # Work that no server has time for in its window is late at best; what is worth most goes first, so this counts in full.
-    beyond = sum(window["requests"] * max(0.0, 1 - 1 / window["use"]) for window in windows if window["use"] > 1)
-    late_part = min(kind.late_worth / kind.worth for kind in kinds)
-    credit -= (1 - late_part) * (beyond / asked if asked else 0.0)
+    credit -= sum(least_late_loss(report, kinds, servers, window) for window in windows) / owed
     models = sum(counts[kind.name] * kind.model_cost() for kind in kinds) / owed
     fixed = sum(price for name, _, price in report["prices"] if name in FIXED_PRICES)
     return {"credit": credit, "models": models, "fixed": fixed, "worth": credit - models - fixed}
@@ -123,7 +135,7 @@
 
 def analyse(report, kinds, servers):
     windows = windows_against_capacity(report, kinds, servers)
-    bound = bound_of(report, kinds, windows)
+    bound = bound_of(report, kinds, servers, windows)
     prices = sorted(((name, price) for name, _, price in report["prices"] if price > 0), key=lambda row: -row[1])
     return {
         "worth": report["G"],
