Leave a stream that stalls, however alive its server is, and ask living servers ever more rarely

Cause: a stream that had begun waited for its route's time while its server answered anything at all: a byte now and then, other requests, probes. A plain answer that trickled was waited for likewise, as each byte counted as progress, and so was a head that trickled. Now a stream that has begun, be it with a part of a head, goes on elsewhere after half of what clients bear without a whole event; a plain answer makes progress by a kilobyte; and each answered probe doubles the silence before the next one, up to eight times. A stream that has not begun still waits its turn: another server would make it wait anew. Ruled out: cutting by a silence of bytes, which ends slow but sound streams; whole events count, against the route's goals. Tests that failed before: two of process.gateway (the stream ended without its last events at 8 s; the plain answer was a 504), unit tests of the silence and of a call's partial head.

--- a/include/agatespar/gateway/silence.h
+++ b/include/agatespar/gateway/silence.h
@@ -11,14 +11,17 @@
 /// How a request that waits for its server stands.
 struct waiting_request {
     const service_route* route{nullptr};
-    /// Its client has got the beginning of the answer.
+    /// The server has begun to answer, be it with a part of a head only.
     bool answer_begun{false};
-    /// Since when nothing of this request has come: its sending, or the last piece.
+    /// Since when the request has made no progress: its sending, the first byte of a head that is not whole yet, or the
+    /// last whole event. A byte now and then is no progress.
     steady_time since;
     /// When the server last sent anything to this VM, for whichever request.
     steady_time server_heard;
     /// Other servers of its zone can't be reached, so its silence means more.
     bool zone_suspected{false};
+    /// Probes that the server has answered since this request's last progress.
+    int answered_probes{0};
 };
 
 /// @return how long from now to look again whether the request is still worth waiting for, or nothing if it must not
@@ -31,7 +34,7 @@
     wait,
     /// Ask the server whether it lives: a busy one makes its streams wait too.
     probe,
-    /// Go on elsewhere. The answer of a plain request may be lost, though its server is well.
+    /// Go on elsewhere, though the server may be well: the answer of a plain request may be lost, a stream stalled.
     go_elsewhere,
 };
 
--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -49,6 +49,8 @@
     void cancel();
     /// Stops or goes on reading the answer, while its receiver is slow.
     void pause(bool paused);
+    /// @return since when the head of an answer has been coming without being whole, if one is.
+    std::optional<steady_time> partial_head_since() const;
 
 private:
     friend class connection_pool;
@@ -71,6 +73,7 @@
     std::shared_ptr<tcp_stream> stream_;
     std::unique_ptr<answer_reader> reader_;
     std::string input_;
+    std::optional<steady_time> head_begun_;
     http_answer_head head_;
     std::string expected_id_header_;
     std::string expected_id_;
--- a/lib/gateway/silence.cpp
+++ b/lib/gateway/silence.cpp
@@ -16,6 +16,16 @@
 // Streams are looked at this often at least, as their zone may become suspected meanwhile.
 static constexpr std::chrono::milliseconds longest_look{250};
 static constexpr std::chrono::milliseconds shortest_look{50};
+// Clients leave a stream after the longest of these times without an event (PROTOCOL.md, Requests).
+static constexpr std::chrono::milliseconds least_patience{2000};
+static constexpr int patience_in_goals = 4;
+static constexpr int patience_in_gaps = 8;
+// The part of the clients' patience after which a stream that has begun goes on elsewhere though its server lives: the
+// other half is left for the server that goes on.
+static constexpr double stall_part = 0.5;
+// Each probe that the server answers doubles the silence before the next one, this often at most: one that lived a
+// moment ago is mostly busy, and probes take its places and are priced.
+static constexpr int most_doublings = 3;
 // For routes that set no goal.
 static constexpr std::chrono::milliseconds default_goal{1000};
 
@@ -35,6 +45,12 @@
     return std::max<duration>(least_plain, part_of(route.goal, plain_part));
 }
 
+static duration longest_stall(const service_route& route)
+{
+    const auto patience = std::max({least_patience, patience_in_goals * route.goal, patience_in_gaps * route.gap_goal});
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(patience) * stall_part);
+}
+
 std::optional<duration> next_look(const waiting_request& request, steady_time now)
 {
     if (!may_repeat(*request.route)) {
@@ -55,7 +71,11 @@
     if (request.route->kind != request_kind::streaming) {
         return silence_verdict::go_elsewhere;
     }
-    const bool heard = now - request.server_heard < allowed_silence(request);
+    if (request.answer_begun && now - request.since >= longest_stall(*request.route)) {
+        return silence_verdict::go_elsewhere;
+    }
+    const int doublings = std::min(request.answered_probes, most_doublings);
+    const bool heard = now - request.server_heard < allowed_silence(request) * (1 << doublings);
     return heard ? silence_verdict::wait : silence_verdict::probe;
 }
 
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -42,6 +42,7 @@
     void note_read();
     void on_head(const http_answer_head& head);
     void on_body(std::string_view bytes);
+    void note_progress();
     void on_done();
     void on_failed(const send_failure& failure);
     void on_not_run(const answer_facts& facts);
@@ -85,7 +86,9 @@
     std::optional<timer_id> retry_timer_;
     std::optional<timer_id> silence_timer_;
     std::shared_ptr<client_call> probe_;
+    /// When the attempt last made progress, and the probes that its server has answered since.
     steady_time last_piece_;
+    int answered_probes_{0};
     int sends_{0};
     int runs_{0};
     progress progress_{progress::nothing_ran};
--- a/lib/gateway/transparent_run_answer.cpp
+++ b/lib/gateway/transparent_run_answer.cpp
@@ -11,6 +11,8 @@
 // memory a hundred times as much.
 static constexpr std::size_t most_plain_bytes = std::size_t{8} << 20U;
 static constexpr std::size_t most_event_bytes = std::size_t{1} << 20U;
+// A plain answer makes progress with each of these: less than a segment of any link, and more than bytes that trickle.
+static constexpr std::size_t progress_bytes = 1024;
 // A larger model is asked only while this part of the goal is left: it takes some three times as long as the smallest
 // one, and a client's last try may have little time.
 static constexpr int cascade_part = 2;
@@ -22,7 +24,7 @@
     const steady_time now = owner_.loop_.time().now();
     note_answer(*server_, facts, now);
     server_->last_heard = now;
-    last_piece_ = now;
+    note_progress();
     owner_.zones_.note_reached(*server_);
     note_read();
     if (facts.not_run) {
@@ -93,8 +95,11 @@
     }
     server_->last_heard = owner_.loop_.time().now();
     if (!streams_) {
-        last_piece_ = server_->last_heard;
+        const std::size_t before = body_.size();
         body_.append(bytes);
+        if (body_.size() / progress_bytes > before / progress_bytes) {
+            note_progress();
+        }
         if (body_.size() > most_plain_bytes) {
             on_failed({send_state::sent, "the answer has no end"});
         }
@@ -103,7 +108,7 @@
     const std::string_view events = events_.take(bytes);
     if (!events.empty()) {
         // A byte now and then is no progress of the stream.
-        last_piece_ = server_->last_heard;
+        note_progress();
     }
     exchange_->send_piece(events);
     if (events_.partial_size() > most_event_bytes) {
@@ -115,6 +120,12 @@
     }
 }
 
+void transparent_run::note_progress()
+{
+    last_piece_ = owner_.loop_.time().now();
+    answered_probes_ = 0;
+}
+
 void transparent_run::on_done()
 {
     note_quality(!is_server_failure(head_.status));
--- a/lib/gateway/transparent_run_send.cpp
+++ b/lib/gateway/transparent_run_send.cpp
@@ -147,7 +147,7 @@
         return;
     }
     call_ = std::move(*started);
-    last_piece_ = attempt_began_;
+    note_progress();
     watch_silence();
 }
 
--- a/lib/gateway/transparent_run_silence.cpp
+++ b/lib/gateway/transparent_run_silence.cpp
@@ -12,8 +12,15 @@
 
 waiting_request transparent_run::describe_waiting() const
 {
-    const bool suspected = owner_.zones_.is_avoided(server_->record.zone, owner_.loop_.time().now());
-    return {route_, answer_begun_, last_piece_, server_->last_heard, suspected};
+    waiting_request waiting;
+    waiting.route = route_;
+    waiting.zone_suspected = owner_.zones_.is_avoided(server_->record.zone, owner_.loop_.time().now());
+    waiting.server_heard = server_->last_heard;
+    waiting.answered_probes = answered_probes_;
+    const auto partial_head = call_ ? call_->partial_head_since() : std::nullopt;
+    waiting.answer_begun = answer_begun_ || partial_head;
+    waiting.since = partial_head.value_or(last_piece_);
+    return waiting;
 }
 
 void transparent_run::watch_silence()
@@ -83,6 +90,7 @@
             return;
         }
         if (self->server_->last_heard >= asked) {
+            ++self->answered_probes_;
             self->watch_silence();
         }
         else {
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -102,6 +102,7 @@
             callbacks->body(bytes);
         }
     };
+    head_begun_.reset();
     reader_ = std::make_unique<answer_reader>(
         pool_->limits_.answer, message_callbacks<http_answer_head>{
                                    [this](http_answer_head received) { take_head(std::move(received)); }, on_body});
@@ -127,10 +128,18 @@
     }
 }
 
+std::optional<steady_time> client_call::partial_head_since() const
+{
+    return reader_ && !reader_->is_head_done() ? head_begun_ : std::nullopt;
+}
+
 void client_call::on_bytes(std::string_view bytes)
 {
     input_.append(bytes);
     while (stream_ && reader_ && !input_.empty()) {
+        if (!head_begun_) {
+            head_begun_ = pool_->loop_.time().now();
+        }
         const outcome<void> result = reader_->feed(input_);
         if (!stream_) {
             return;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -277,6 +277,19 @@
             _, status, _, text = self.ask("stream")
             self.assertEqual((status, text), (200, self.events("small")))
 
+    def test_a_stream_that_stalls_goes_on_elsewhere_though_its_server_lives_and_sends_a_byte_now_and_then(self):
+        identity, _, _, _ = self.ask("stream")
+        usual = next(name for name in self.servers if self.fleet.counts(name)["runs"].get(identity, 0) == 1)
+        self.fleet.faults(usual, trickles=True)
+        identity, status, _, text = self.ask("stream")
+        self.assertEqual((status, text), (200, self.events("small")))
+        self.assertEqual(self.runs(identity), 2)
+
+    def test_a_plain_answer_that_trickles_is_asked_for_elsewhere(self):
+        self.fleet.faults("calls-1", trickles=True)
+        for _ in range(4):
+            self.assertEqual(self.ask("safe")[1], 200)
+
     def test_a_stream_that_breaks_everywhere_is_never_taken_for_whole(self):
         self.on_all("talk", breaks_at_event=4)
         identity, status, _, text = self.ask("stream")
--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -18,6 +18,8 @@
     std::uint64_t breaks_at_event{0};
     /// Sends bytes without end in place of an answer, or of an event that is not the first, until its caller closes.
     bool endless{false};
+    /// Sends a byte now and then in place of an answer, or of an event that is not the first, until its caller closes.
+    bool trickles{false};
     std::chrono::milliseconds late{0};
     /// Its opinion of a small model's answers.
     int confidence{90};
@@ -77,7 +79,7 @@
         call->refuse(500, "failed", "ran");
         return;
     }
-    if (call->header("X-Model").empty() && faults_.endless) {
+    if (call->header("X-Model").empty() && (faults_.endless || faults_.trickles)) {
         call->begin_events();
         send_without_end(call);
         return;
@@ -102,7 +104,7 @@
         call->end_events();
         return;
     }
-    if (faults_.endless && event > 1) {
+    if ((faults_.endless || faults_.trickles) && event > 1) {
         send_without_end(call);
         return;
     }
@@ -125,8 +127,8 @@
     if (!call->is_open()) {
         return;
     }
-    constexpr std::size_t step_bytes = 256 * 1024;
-    constexpr std::chrono::milliseconds pace{5};
+    const std::size_t step_bytes = faults_.trickles ? 1 : 256 * 1024;
+    const std::chrono::milliseconds pace{faults_.trickles ? 50 : 5};
     call->send_text(std::string(step_bytes, 'a'));
     loop_.schedule(pace, [this, call] { send_without_end(call); });
 }
@@ -138,6 +140,7 @@
     take_field(faults, "loses_answers", faults_.loses_answers);
     take_field(faults, "breaks_at_event", faults_.breaks_at_event);
     take_field(faults, "endless", faults_.endless);
+    take_field(faults, "trickles", faults_.trickles);
     take_field(faults, "late_ms", faults_.late);
     take_field(faults, "confidence", faults_.confidence);
     take_field(faults, "events", faults_.events);
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -110,6 +110,31 @@
     run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
 }
 
+SCENARIO("a call tells since when a head has been coming without being whole")
+{
+    calling test;
+    called result;
+    const auto call = test.start(result);
+    test.wait_for_request(0);
+    CHECK(!call->partial_head_since());
+    test.answer(0, "HTTP/1.1 200");
+    run_until(test.loop, [&call] { return call->partial_head_since().has_value(); });
+    const steady_time begun = *call->partial_head_since();
+    test.answer(0, " OK\r\nX-Id: 7\r\n");
+    WHEN("more of it trickles in, it began when it did")
+    {
+        test.loop.schedule(20ms, [&test] { test.answer(0, "Content-"); });
+        run_until(test.loop, [&] { return test.loop.time().now() - begun > 40ms; });
+        CHECK(call->partial_head_since() == begun);
+    }
+    WHEN("it is whole")
+    {
+        test.answer(0, "Content-Length: 2\r\n\r\n");
+        run_until(test.loop, [&result] { return result.head.has_value(); });
+        CHECK(!call->partial_head_since());
+    }
+}
+
 SCENARIO("bytes after an answer belong to nobody")
 {
     calling test;
