--- a/include/agatespar/gateway/silence.h
+++ b/include/agatespar/gateway/silence.h
@@ -22,6 +22,8 @@
     bool zone_suspected{false};
     /// Probes that the server has answered since this request's last progress.
     int answered_probes{0};
+    /// Its client does not take what came, so nothing more is read from the server.
+    bool held_by_client{false};
 };
 
 /// @return how long from now to look again whether the request is still worth waiting for, or nothing if it must not
--- a/lib/gateway/silence.cpp
+++ b/lib/gateway/silence.cpp
@@ -65,7 +65,8 @@
 
 silence_verdict judge_silence(const waiting_request& request, steady_time now)
 {
-    if (!may_repeat(*request.route) || now < request.since + allowed_silence(request)) {
+    const bool quiet = !request.held_by_client && now >= request.since + allowed_silence(request);
+    if (!may_repeat(*request.route) || !quiet) {
         return silence_verdict::wait;
     }
     if (request.route->kind != request_kind::streaming) {
--- a/lib/gateway/transparent_run.cpp
+++ b/lib/gateway/transparent_run.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace agatespar {
 
@@ -29,7 +30,8 @@
     const auto self = shared_from_this();
     exchange_->on_gone([self] { self->on_client_gone(); });
     exchange_->on_drained([self] {
-        if (self->call_) {
+        if (std::exchange(self->held_by_client_, false) && self->call_) {
+            self->note_progress();
             self->call_->pause(false);
         }
     });
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -89,6 +89,8 @@
     /// When the attempt last made progress, and the probes that its server has answered since.
     steady_time last_piece_;
     int answered_probes_{0};
+    /// The client lags behind, so its server is not read.
+    bool held_by_client_{false};
     int sends_{0};
     int runs_{0};
     progress progress_{progress::nothing_ran};
--- a/lib/gateway/transparent_run_answer.cpp
+++ b/lib/gateway/transparent_run_answer.cpp
@@ -116,6 +116,7 @@
         return;
     }
     if (exchange_->unsent() > most_unsent) {
+        held_by_client_ = true;
         call_->pause(true);
     }
 }
--- a/lib/gateway/transparent_run_silence.cpp
+++ b/lib/gateway/transparent_run_silence.cpp
@@ -17,6 +17,7 @@
     waiting.zone_suspected = owner_.zones_.is_avoided(server_->record.zone, owner_.loop_.time().now());
     waiting.server_heard = server_->last_heard;
     waiting.answered_probes = answered_probes_;
+    waiting.held_by_client = held_by_client_;
     const auto partial_head = call_ ? call_->partial_head_since() : std::nullopt;
     waiting.answer_begun = answer_begun_ || partial_head;
     waiting.since = partial_head.value_or(last_piece_);
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import time
 import unittest
 
 from harness.fleet import Fleet
@@ -25,6 +26,8 @@
         "sizes": ["small", "large"],
     },
 }
+# Its clients bear two seconds without an event, so a stream that has begun stalls after one.
+ROUTES["brief"] = {**ROUTES["stream"], "goal_ms": 500}
 
 
 def service_map(version, keys=(KEY,), without=()):
@@ -285,6 +288,22 @@
         self.assertEqual((status, text), (200, self.events("small")))
         self.assertEqual(self.runs(identity), 2)
 
+    def test_a_stream_whose_client_reads_nothing_for_a_while_is_not_taken_for_stalled(self):
+        # More than what the sockets on the way hold, so that the server is not read either.
+        self.on_all("talk", events=40, padding=500_000)
+        host, port = self.entry["front"].split(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=30)
+        self.addCleanup(connection.close)
+        fields = {"Host": "one.example", "X-Attempt-Id": "slow-reader", "X-Deadline-Ms": "8000",
+                  "Authorization": "Bearer " + KEY, "X-Model": "*", "X-Token-Count": "900,60",
+                  "X-Prompt-Prefix": "aa:500,bb:300,cc:100"}
+        connection.request("POST", "/brief/a", headers=fields)
+        response = connection.getresponse()
+        # Longer than a stall, and shorter than a client that takes nothing at all is kept.
+        time.sleep(2)
+        self.assertEqual(response.read().decode().count("data: "), 40)
+        self.assertEqual(self.runs("slow-reader"), 1)
+
     def test_a_plain_answer_that_trickles_is_asked_for_elsewhere(self):
         self.fleet.faults("calls-1", trickles=True)
         for _ in range(4):
--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -24,6 +24,8 @@
     /// Its opinion of a small model's answers.
     int confidence{90};
     std::uint64_t events{6};
+    /// Bytes by which each event is longer than usual.
+    std::uint64_t padding{0};
 };
 
 class runner_role final : public role {
@@ -108,8 +110,8 @@
         send_without_end(call);
         return;
     }
-    const std::string text =
-        "id: " + std::to_string(event) + "\ndata: " + call->header("X-Model") + " " + std::to_string(event) + "\n\n";
+    const std::string text = "id: " + std::to_string(event) + "\ndata: " + call->header("X-Model") + " " +
+                             std::to_string(event) + std::string(faults_.padding, 'p') + "\n\n";
     const bool breaks = event == faults_.breaks_at_event;
     call->send_text(breaks ? text.substr(0, text.size() / 2) : text);
     constexpr std::chrono::milliseconds pace{10};
@@ -144,6 +146,7 @@
     take_field(faults, "late_ms", faults_.late);
     take_field(faults, "confidence", faults_.confidence);
     take_field(faults, "events", faults_.events);
+    take_field(faults, "padding", faults_.padding);
 }
 
 std::unique_ptr<role> make_runner_role(event_loop& loop, const role_settings& settings)
--- a/unittests/gateway/silence_test.cpp
+++ b/unittests/gateway/silence_test.cpp
@@ -111,6 +111,14 @@
         request.answer_begun = false;
         CHECK(judge_at(20s) == silence_verdict::wait);
     }
+    GIVEN("a client that does not take what came, so that its server is not read")
+    {
+        route.goal = 2s;
+        request.held_by_client = true;
+        CHECK(judge_at(20s) == silence_verdict::wait);
+        request.server_heard = start;
+        CHECK(judge_silence(request, start + 20s) == silence_verdict::wait);
+    }
     GIVEN("a stream that must not run again")
     {
         route.resumable = false;
