--- a/lib/gateway/silence.cpp
+++ b/lib/gateway/silence.cpp
@@ -29,26 +29,28 @@
 // For routes that set no goal.
 static constexpr std::chrono::milliseconds default_goal{1000};
 
+static duration part_of(std::chrono::milliseconds time, double part)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time) * part);
+}
+
 static duration allowed_silence(const waiting_request& request)
 {
     const service_route& route = *request.route;
-    const auto part_of = [](std::chrono::milliseconds goal, double part) {
-        const auto time = goal.count() > 0 ? goal : default_goal;
-        return std::chrono::duration_cast<duration>(std::chrono::duration<double>(time) * part);
-    };
+    const auto or_default = [](std::chrono::milliseconds goal) { return goal.count() > 0 ? goal : default_goal; };
     if (route.kind == request_kind::streaming) {
         if (request.zone_suspected) {
             return suspected_silence;
         }
-        return part_of(request.answer_begun ? route.gap_goal : route.goal, stream_part);
+        return part_of(or_default(request.answer_begun ? route.gap_goal : route.goal), stream_part);
     }
-    return std::max<duration>(least_plain, part_of(route.goal, plain_part));
+    return std::max<duration>(least_plain, part_of(or_default(route.goal), plain_part));
 }
 
 static duration longest_stall(const service_route& route)
 {
     const auto patience = std::max({least_patience, patience_in_goals * route.goal, patience_in_gaps * route.gap_goal});
-    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(patience) * stall_part);
+    return part_of(patience, stall_part);
 }
 
 std::optional<duration> next_look(const waiting_request& request, steady_time now)
--- a/lib/gateway/transparent_run.h
+++ b/lib/gateway/transparent_run.h
@@ -87,7 +87,7 @@
     std::optional<timer_id> silence_timer_;
     std::shared_ptr<client_call> probe_;
     /// When the attempt last made progress, and the probes that its server has answered since.
-    steady_time last_piece_;
+    steady_time progressed_at_;
     int answered_probes_{0};
     /// The client lags behind, so its server is not read.
     bool held_by_client_{false};
--- a/lib/gateway/transparent_run_answer.cpp
+++ b/lib/gateway/transparent_run_answer.cpp
@@ -123,7 +123,7 @@
 
 void transparent_run::note_progress()
 {
-    last_piece_ = owner_.loop_.time().now();
+    progressed_at_ = owner_.loop_.time().now();
     answered_probes_ = 0;
 }
 
--- a/lib/gateway/transparent_run_silence.cpp
+++ b/lib/gateway/transparent_run_silence.cpp
@@ -20,7 +20,7 @@
     waiting.held_by_client = held_by_client_;
     const auto partial_head = call_ ? call_->partial_head_since() : std::nullopt;
     waiting.answer_begun = answer_begun_ || partial_head;
-    waiting.since = partial_head.value_or(last_piece_);
+    waiting.since = partial_head.value_or(progressed_at_);
     return waiting;
 }
 
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -112,18 +112,23 @@
     def get(self, address, path):
         return call(address, "GET", path)
 
-    def ask(self, kind, entry=None, method=None, headers=None, key=KEY, body=None):
-        """Sends one request and returns status, headers and body; the body is None if it was cut."""
+    def send(self, kind, entry=None, method=None, headers=None, key=KEY, body=None):
+        """Sends one request and returns its id and the connection that its answer comes on."""
         self.sent += 1
         identity = f"attempt-{self.sent}"
         host, port = (entry or self.entry)["front"].split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=30)
         fields = {"Host": "one.example", "X-Attempt-Id": identity, "X-Deadline-Ms": "8000",
                   "Authorization": "Bearer " + key, **(headers or {})}
-        if kind == "stream":
+        if ROUTES.get(kind, {}).get("route_type") == "streaming":
             fields = {"X-Model": "*", "X-Token-Count": "900,60", "X-Prompt-Prefix": "aa:500,bb:300,cc:100", **fields}
         connection.request(method or ("GET" if kind == "safe" else "POST"), f"/{kind}/a%2Fb?x=1", body=body,
                            headers=fields)
+        return identity, connection
+
+    def ask(self, kind, **request):
+        """Sends one request and returns its id, status, headers and body; the body is None if it was cut."""
+        identity, connection = self.send(kind, **request)
         try:
             response = connection.getresponse()
         except (http.client.HTTPException, OSError):
@@ -291,18 +296,13 @@
     def test_a_stream_whose_client_reads_nothing_for_a_while_is_not_taken_for_stalled(self):
         # More than what the sockets on the way hold, so that the server is not read either.
         self.on_all("talk", events=40, padding=500_000)
-        host, port = self.entry["front"].split(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=30)
+        identity, connection = self.send("brief")
         self.addCleanup(connection.close)
-        fields = {"Host": "one.example", "X-Attempt-Id": "slow-reader", "X-Deadline-Ms": "8000",
-                  "Authorization": "Bearer " + KEY, "X-Model": "*", "X-Token-Count": "900,60",
-                  "X-Prompt-Prefix": "aa:500,bb:300,cc:100"}
-        connection.request("POST", "/brief/a", headers=fields)
         response = connection.getresponse()
         # Longer than a stall, and shorter than a client that takes nothing at all is kept.
         time.sleep(2)
         self.assertEqual(response.read().decode().count("data: "), 40)
-        self.assertEqual(self.runs("slow-reader"), 1)
+        self.assertEqual(self.runs(identity), 1)
 
     def test_a_plain_answer_that_trickles_is_asked_for_elsewhere(self):
         self.fleet.faults("calls-1", trickles=True)
--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -20,6 +20,7 @@
     bool endless{false};
     /// Sends a byte now and then in place of an answer, or of an event that is not the first, until its caller closes.
     bool trickles{false};
+    bool never_ends() const { return endless || trickles; }
     std::chrono::milliseconds late{0};
     /// Its opinion of a small model's answers.
     int confidence{90};
@@ -81,7 +82,7 @@
         call->refuse(500, "failed", "ran");
         return;
     }
-    if (call->header("X-Model").empty() && (faults_.endless || faults_.trickles)) {
+    if (call->header("X-Model").empty() && faults_.never_ends()) {
         call->begin_events();
         send_without_end(call);
         return;
@@ -106,7 +107,7 @@
         call->end_events();
         return;
     }
-    if ((faults_.endless || faults_.trickles) && event > 1) {
+    if (faults_.never_ends() && event > 1) {
         send_without_end(call);
         return;
     }
--- a/utils/harness/platform_day.py
+++ b/utils/harness/platform_day.py
@@ -13,7 +13,6 @@
 READ_TOKEN_WEIGHT = 0.25
 # Prices that no router of the same deployment can avoid.
 FIXED_PRICES = ("machine-seconds",)
-MODELS_PRICE = "worth paid for the use of models"
 
 
 class Kind:
@@ -25,11 +24,10 @@
         self.late_worth = float(fields["late_worth"])
         stream = fields.get("stream", {})
         self.own_tokens = float(stream.get("prompt_tokens", {}).get("mean", 0))
-        self.shared_tokens = sum(float(part["tokens"]["mean"]) for part in stream.get("chain", ()))
-        llm = servers.get(fields["service"], {}).get("llm") or {}
+        self.service = servers[fields["service"]]
+        llm = self.service.get("llm", {})
         self.generated = float(stream.get("pieces", {}).get("mean", 0)) * float(llm.get("stride", 1))
         self.models = [models[number] for number in stream.get("sizes", ())] if models else []
-        self.service = servers.get(fields["service"], {})
         # Each of its runs fails with this share, whatever the router does.
         self.lost_share = float(fields.get("error_share", 0)) ** int(fields.get("attempts", 1))
 
@@ -88,17 +86,25 @@
     return rows
 
 
+def time_of(service):
+    """The seconds that all servers of a service have in a window."""
+    return count_servers(service) * WINDOW_SECONDS
+
+
+def work_asked(report, kinds, requests):
+    """The servers' seconds that requests of the day's mix ask for, by kind."""
+    counts = {row["name"]: row["n"] for row in report["classes"]}
+    share = requests / sum(counts.values())
+    return {kind: counts[kind.name] * share * kind.server_seconds() for kind in kinds}
+
+
 def windows_against_capacity(report, kinds, servers):
     """Rows of windows: worth, and the servers' time that was asked, in parts of what all servers have in it."""
-    counts = {row["name"]: row["n"] for row in report["classes"]}
-    asked = sum(counts.values())
-    busy = {}
-    for kind in kinds:
-        busy[kind.service["name"]] = busy.get(kind.service["name"], 0.0) + counts[kind.name] * kind.server_seconds()
     rows = []
     for window in report["windows"]:
-        share = window["n"] / asked if asked else 0.0
-        use = max(busy[name] * share / (count_servers(servers[name]) * WINDOW_SECONDS) for name in busy)
+        work = work_asked(report, kinds, window["n"])
+        use = max(sum(work[kind] for kind in kinds if kind.service is service) / time_of(service)
+                  for service in servers.values())
         begins = float(window["name"])
         events = [event["kind"] for event in report["events"]
                   if event["at_s"] < begins + WINDOW_SECONDS and event["to_s"] > begins]
@@ -108,15 +114,13 @@
 
 def least_late_loss(report, kinds, servers, window):
     """The worth that a window loses at the least: work beyond its servers' time is late, what loses least by it first."""
-    counts = {row["name"]: row["n"] for row in report["classes"]}
-    share = window["requests"] / sum(counts.values())
+    work = work_asked(report, kinds, window["requests"])
     loss = 0.0
-    for name, service in servers.items():
-        own = [kind for kind in kinds if kind.service["name"] == name and kind.server_seconds() > 0]
-        excess = sum(counts[kind.name] * share * kind.server_seconds() for kind in own)
-        excess -= count_servers(service) * WINDOW_SECONDS
+    for service in servers.values():
+        own = [kind for kind in kinds if kind.service is service and work[kind] > 0]
+        excess = sum(work[kind] for kind in own) - time_of(service)
         for kind in sorted(own, key=lambda kind: (kind.worth - kind.late_worth) / kind.server_seconds()):
-            late_work = min(max(0.0, excess), counts[kind.name] * share * kind.server_seconds())
+            late_work = min(max(0.0, excess), work[kind])
             loss += late_work / kind.server_seconds() * (kind.worth - kind.late_worth)
             excess -= late_work
     return loss
