--- /dev/null
+++ b/utils/harness/platform_day.py
@@ -0,0 +1,185 @@
+"""Where a day of the users' platform lost its worth, and how much it could have earned at best.
+
+Reads a report of `fleetbench run --report` and the site file of its deployment. The bound is an upper one: it assumes that
+every request meets the model that is just good enough, that no prompt part that is shared is read twice, and that servers
+never stand still while work waits. It knows nothing of servers that are away, so it is above what troubles leave.
+"""
+
+import json
+import tomllib
+
+WINDOW_SECONDS = 2.0
+# PROTOCOL.md, Requests: "tokens read count as a quarter" of those that are generated.
+READ_TOKEN_WEIGHT = 0.25
+# Prices that no router of the same deployment can avoid.
+FIXED_PRICES = ("machine-seconds",)
+MODELS_PRICE = "worth paid for the use of models"
+
+
+class Kind:
+    """One kind of request: what it asks of servers, and what it is worth."""
+
+    def __init__(self, fields, models, servers):
+        self.name = fields["name"]
+        self.worth = float(fields["worth"])
+        self.late_worth = float(fields["late_worth"])
+        stream = fields.get("stream", {})
+        self.own_tokens = float(stream.get("prompt_tokens", {}).get("mean", 0))
+        self.shared_tokens = sum(float(part["tokens"]["mean"]) for part in stream.get("chain", ()))
+        llm = servers.get(fields["service"], {}).get("llm") or {}
+        self.generated = float(stream.get("pieces", {}).get("mean", 0)) * float(llm.get("stride", 1))
+        self.models = [models[number] for number in stream.get("sizes", ())] if models else []
+        self.service = servers.get(fields["service"], {})
+        # Each of its runs fails with this share, whatever the router does.
+        self.lost_share = float(fields.get("error_share", 0)) ** int(fields.get("attempts", 1))
+
+    def best_mix(self):
+        """Yields each model with the share of requests that it, and no smaller one, answers well."""
+        known = 0.0
+        for model in sorted(self.models, key=lambda model: model["quality"]):
+            yield model, max(0.0, model["quality"] - known)
+            known = max(known, model["quality"])
+
+    def model_cost(self):
+        """The least worth that a request's models cost: its own part of the prompt is read once, and its answer written."""
+        tokens = self.own_tokens * READ_TOKEN_WEIGHT + self.generated
+        return sum(share * model["cost"] * tokens / 1000 for model, share in self.best_mix())
+
+    def server_seconds(self):
+        """The time of one server that a request takes at the least, in a batch that is full."""
+        llm = self.service.get("llm")
+        if not llm:
+            return 0.0
+        batch = float(llm["batch"])
+        reading = self.own_tokens / float(llm["prefill_tokens_per_ms"])
+        step = float(llm["step_ms"]) + float(llm.get("step_ms_per_slot", 0)) * batch
+        pace = sum(share * float(model["pace"]) for model, share in self.best_mix()) if self.models else 1.0
+        return pace * (reading + self.generated * step / batch) / 1000
+
+
+def read_site(path):
+    with open(path, "rb") as file:
+        site = tomllib.load(file)
+    servers = {service["name"]: service for service in site["services"]}
+    return [Kind(fields, site.get("models", []), servers) for fields in site["classes"]], servers
+
+
+def count_servers(service):
+    return sum(int(group["count"]) for group in service["servers"])
+
+
+def lost_by_kind(report, kinds):
+    """Rows of worth that each kind lost, by reason, in parts of all worth that was owed."""
+    by_name = {row["name"]: row for row in report["classes"]}
+    owed_worth = sum((by_name[kind.name]["n"] - by_name[kind.name]["not_owed"]) * kind.worth for kind in kinds)
+    rows = []
+    for kind in kinds:
+        row = by_name[kind.name]
+        owed = row["n"] - row["not_owed"]
+        lost = {
+            "late": row["late"] * (kind.worth - kind.late_worth),
+            "refused": row["refused"] * kind.worth,
+            "failed": row["failed"] * kind.worth,
+        }
+        # What the counts do not explain: answers that were poor, and requests that are worth more or less by their size.
+        lost["poor answers and sizes"] = owed * kind.worth * (1 - row["worth"]) - sum(lost.values())
+        rows.append({"kind": kind.name, "owed": owed, "worth": row["worth"],
+                     "lost": {reason: value / owed_worth for reason, value in lost.items()}})
+    return rows
+
+
+def windows_against_capacity(report, kinds, servers):
+    """Rows of windows: worth, and the servers' time that was asked, in parts of what all servers have in it."""
+    counts = {row["name"]: row["n"] for row in report["classes"]}
+    asked = sum(counts.values())
+    busy = {}
+    for kind in kinds:
+        busy[kind.service["name"]] = busy.get(kind.service["name"], 0.0) + counts[kind.name] * kind.server_seconds()
+    rows = []
+    for window in report["windows"]:
+        share = window["n"] / asked if asked else 0.0
+        use = max(busy[name] * share / (count_servers(servers[name]) * WINDOW_SECONDS) for name in busy)
+        begins = float(window["name"])
+        events = [event["kind"] for event in report["events"]
+                  if event["at_s"] < begins + WINDOW_SECONDS and event["to_s"] > begins]
+        rows.append({"second": begins, "requests": window["n"], "worth": window["worth"], "use": use, "events": events})
+    return rows
+
+
+def bound_of(report, kinds, windows):
+    """The most that a day could have been worth, with its terms."""
+    counts = {row["name"]: row["n"] - row["not_owed"] for row in report["classes"]}
+    owed = sum(counts[kind.name] * kind.worth for kind in kinds)
+    credit = sum(counts[kind.name] * kind.worth * (1 - kind.lost_share) for kind in kinds) / owed
+    asked = sum(window["requests"] for window in windows)
+    # Work that no server has time for in its window is late at best; what is worth most goes first, so this counts in full.
+    beyond = sum(window["requests"] * max(0.0, 1 - 1 / window["use"]) for window in windows if window["use"] > 1)
+    late_part = min(kind.late_worth / kind.worth for kind in kinds)
+    credit -= (1 - late_part) * (beyond / asked if asked else 0.0)
+    models = sum(counts[kind.name] * kind.model_cost() for kind in kinds) / owed
+    fixed = sum(price for name, _, price in report["prices"] if name in FIXED_PRICES)
+    return {"credit": credit, "models": models, "fixed": fixed, "worth": credit - models - fixed}
+
+
+def analyse(report, kinds, servers):
+    windows = windows_against_capacity(report, kinds, servers)
+    bound = bound_of(report, kinds, windows)
+    prices = sorted(((name, price) for name, _, price in report["prices"] if price > 0), key=lambda row: -row[1])
+    return {
+        "worth": report["G"],
+        "bound": bound,
+        "share_of_bound": report["G"] / bound["worth"],
+        "parts": [{"part": name, "weight": weight, "credit": credit} for name, weight, credit in report["parts"]],
+        "kinds": lost_by_kind(report, kinds),
+        "zones": [{"zone": row["name"], "worth": row["worth"], "late": row["late"], "failed": row["failed"]}
+                  for row in report["zones"]],
+        "windows": windows,
+        "prices": [{"price": name, "cost": cost} for name, cost in prices],
+        "reasons": [{"reason": row[0], "requests": row[1]} for row in report["unserved_by"]],
+    }
+
+
+def write_text(found):
+    """Lines for people, the largest losses first."""
+    bound = found["bound"]
+    yield (f"worth {found['worth']:.3f}, at most {bound['worth']:.3f} = credit {bound['credit']:.3f}"
+           f" - models {bound['models']:.3f} - machines {bound['fixed']:.3f}; {found['share_of_bound']:.2f} of the bound")
+    yield "parts: " + ", ".join(f"{row['part']} {row['credit']:.3f} (weight {row['weight']})" for row in found["parts"])
+    yield ""
+    yield "lost by kind, in parts of the day's worth"
+    losses = [(value, row["kind"], reason) for row in found["kinds"] for reason, value in row["lost"].items()]
+    for value, kind, reason in sorted(losses, reverse=True):
+        if value >= 0.0005:
+            yield f"  {value:.3f}  {kind}: {reason}"
+    yield "prices"
+    for row in found["prices"]:
+        if row["cost"] >= 0.0005:
+            yield f"  {row['cost']:.3f}  {row['price']}"
+    yield "not served, by the last try"
+    for row in found["reasons"]:
+        yield f"  {row['requests']:5d}  {row['reason']}"
+    yield "zones"
+    for row in found["zones"]:
+        yield f"  {row['worth']:.3f}  {row['zone']}: {row['late']} late, {row['failed']} failed"
+    yield "worst windows: worth, use of the servers' time, what happened"
+    for row in sorted(found["windows"], key=lambda row: row["worth"])[:6]:
+        yield f"  {row['second']:4.0f} s  {row['worth']:.3f}  {row['use']:.2f}  {'; '.join(row['events'])}"
+
+
+def write_plot(found, path):
+    """A gnuplot script with its data: worth and use by second."""
+    rows = "\n".join(f"{row['second']} {row['worth']} {row['use']}" for row in found["windows"])
+    with open(path, "w", encoding="utf-8") as file:
+        file.write("set terminal svg size 900,400\nset output '" + path + ".svg'\nset xlabel 'second of the day'\n"
+                   "set yrange [0:*]\n$day << END\n" + rows + "\nEND\n"
+                   "plot $day using 1:2 with steps title 'worth', $day using 1:3 with steps title 'use of servers'\n")
+
+
+def main(arguments):
+    report_path, site_path = arguments["REPORT"], arguments["SITE"]
+    with open(report_path, encoding="utf-8") as file:
+        report = json.load(file)
+    found = analyse(report, *read_site(site_path))
+    if arguments["plot"]:
+        write_plot(found, arguments["plot"])
+    print(json.dumps(found, indent=1) if arguments["json"] else "\n".join(write_text(found)))
