Log the time to the first byte and the number of events of each attempt

With the time to the first byte and the number of events a server's pace shows, which tells a slow version from one that is asked for long answers.

No logic changes. unittest_gateway: the event splitter counts events in pieces of any size, the line shows both fields.

--- a/include/agatespar/gateway/event_splitter.h
+++ b/include/agatespar/gateway/event_splitter.h
@@ -14,6 +14,8 @@
     std::string_view append_bytes(std::string_view bytes);
     /// @return the id of the last complete event that has one, or an empty string if there was none yet.
     const std::string& last_id() const { return last_id_; }
+    /// @return the number of complete events so far.
+    std::size_t completed() const { return completed_; }
     /// @return whether bytes of an incomplete event are buffered.
     bool has_partial() const { return !partial_.empty(); }
     /// @return the number of buffered bytes of an incomplete event.
@@ -27,6 +29,7 @@
     std::string partial_;
     std::string complete_;
     std::string last_id_;
+    std::size_t completed_{0};
 };
 
 } // namespace agatespar
--- a/include/agatespar/gateway/request_report.h
+++ b/include/agatespar/gateway/request_report.h
@@ -26,6 +26,10 @@
     std::optional<std::chrono::milliseconds> contact_age;
     std::chrono::milliseconds time_left{0};
     std::chrono::milliseconds elapsed{0};
+    /// Time to the first byte of this attempt's answer; none if it never began.
+    std::optional<std::chrono::milliseconds> first_byte;
+    /// Complete events that the server sent, if the answer is a stream.
+    std::size_t events{0};
     /// "answered", or the reason why the attempt ended without a complete answer.
     std::string outcome;
 };
@@ -56,7 +60,7 @@
 /// @return the attempts in the compact form of the log line, e.g.
 /// "i-1 v1 m0 load 3/48 age 120 heard 80 of 17 left 2000: answered 70 ms": server, version, model, load and slots, age
 /// of the load report, time since the last contact or "never", number of candidates, time left, outcome, and duration.
-/// All times are in milliseconds.
+/// A stream that has begun adds ", first 20 ms, 12 events". All times are in milliseconds.
 std::string describe_attempts(const std::vector<attempt_report>& attempts);
 
 /// Updates the metrics and writes the log line: at severity debug if the request was answered in time, otherwise info.
--- a/lib/gateway/event_splitter.cpp
+++ b/lib/gateway/event_splitter.cpp
@@ -3,30 +3,48 @@
 
 namespace agatespar {
 
-/// @return the number of leading bytes that form complete events.
-static std::size_t complete_events_size(std::string_view bytes)
+namespace {
+
+/// The complete events at the start of a piece of a stream.
+struct complete_events {
+    /// Number of bytes that form complete events.
+    std::size_t size{0};
+    std::size_t count{0};
+};
+
+} // namespace
+
+static complete_events find_complete_events(std::string_view bytes)
 {
-    std::size_t complete_end = 0;
+    complete_events found;
     std::size_t line = 0;
+    bool has_content = false;
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         if (bytes[i] != '\n') {
             continue;
         }
         const std::string_view content = bytes.substr(line, i - line);
         if (content.empty() || content == "\r") {
-            complete_end = i + 1;
+            found.size = i + 1;
+            // Only the first of several blank lines ends an event.
+            found.count += has_content ? 1 : 0;
+            has_content = false;
+        }
+        else {
+            has_content = true;
         }
         line = i + 1;
     }
-    return complete_end;
+    return found;
 }
 
 std::string_view event_splitter::append_bytes(std::string_view bytes)
 {
     partial_.append(bytes);
-    const std::size_t size = complete_events_size(partial_);
-    complete_.assign(partial_, 0, size);
-    partial_.erase(0, size);
+    const complete_events found = find_complete_events(partial_);
+    completed_ += found.count;
+    complete_.assign(partial_, 0, found.size);
+    partial_.erase(0, found.size);
     update_last_id(complete_);
     return complete_;
 }
--- a/lib/gateway/request_report.cpp
+++ b/lib/gateway/request_report.cpp
@@ -48,6 +48,10 @@
         text += " of " + std::to_string(attempt.candidates);
         text += " left " + std::to_string(attempt.time_left.count());
         text += ": " + attempt.outcome + " " + std::to_string(attempt.elapsed.count()) + " ms";
+        if (attempt.first_byte && attempt.events > 0) {
+            text += ", first " + std::to_string(attempt.first_byte->count()) + " ms, ";
+            text += std::to_string(attempt.events) + " events";
+        }
     }
     return text;
 }
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -122,6 +122,8 @@
     /// The result of this attempt has been reported to the roll-out of its server's version.
     bool rollout_result_recorded_{false};
     std::uint64_t unread_tokens_{0};
+    /// Events of earlier attempts, whose stream this attempt resumes.
+    std::size_t events_before_attempt_{0};
     duration first_byte_{0};
     request_report report_;
     http_answer_head head_;
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -123,6 +123,7 @@
     tried_.push_back(server_->record.name);
     attempt_started_at_ = owner_.loop_.time().now();
     rollout_result_recorded_ = false;
+    events_before_attempt_ = events_.completed();
     head_ = {};
     body_.clear();
     const http_request_head head = owner_.protocol_.write_attempt(exchange_->head(), describe_attempt(*server_));
@@ -175,6 +176,10 @@
         }
         attempt.elapsed =
             std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - attempt_started_at_);
+        if (head_.status != 0) {
+            attempt.first_byte = std::chrono::duration_cast<std::chrono::milliseconds>(first_byte_);
+            attempt.events = events_.completed() - events_before_attempt_;
+        }
     }
     if (call_) {
         call_->cancel();
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -74,6 +74,7 @@
     }
     CHECK(passed == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n");
     CHECK(splitter.last_id() == "2");
+    CHECK(splitter.completed() == 2);
     CHECK(splitter.has_partial());
     WHEN("the stream breaks there and is resumed on another server")
     {
--- a/unittests/gateway/request_report_test.cpp
+++ b/unittests/gateway/request_report_test.cpp
@@ -25,7 +25,9 @@
     second.model.clear();
     second.contact_age.reset();
     second.outcome = "answered";
+    second.first_byte = 20ms;
+    second.events = 12;
     CHECK(describe_attempts({first, second}) ==
           "i-1 v1 m0 load 3/48 age 120 heard 80 of 17 left 2000: the server was silent 70 ms; "
-          "i-2 v1 load 3/48 age 120 heard never of 17 left 2000: answered 70 ms");
+          "i-2 v1 load 3/48 age 120 heard never of 17 left 2000: answered 70 ms, first 20 ms, 12 events");
 }
