End a roll-out within the operators' limit on exposed requests

Cause: a roll-out was reported complete 1.8 s before its deadline whatever its duration, which is 15 in 100 of 12 s, beside the 6 in 100 before it.

--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -17,10 +17,11 @@
 namespace agatespar {
 
 struct rollout_settings {
-    /// Share of the requests that the new version gets until the roll-out is complete. Together with the requests
-    /// between completion and the deadline, a version that turns bad late stays within the operators' limit on exposed
-    /// requests (0.15).
+    /// Share of the requests that the new version gets until the roll-out is complete.
     double exposed_share{0.06};
+    /// The operators' limit on the share of requests that a bad version gets until its deadline, those after completion
+    /// included. It also bounds the time between completion and the deadline.
+    double max_exposed_share{0.15};
     /// As many requests without a session, of all VMs together, are exposed at this multiple of the share: a service
     /// with few requests would otherwise give too few answers to judge by. The operators allow 30 exposed requests in
     /// addition to their share.
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -17,6 +17,8 @@
 static constexpr int min_streams = 3;
 // Intervals that comparison_window is divided into: its effective length is off by one interval at most.
 static constexpr int comparison_intervals = 10;
+// Part of the operators' limit on exposed requests that is left for their uneven arrival.
+static constexpr double exposure_margin = 0.01;
 // A stop is not final, as a good version may look bad for a moment, until its good answers are reported.
 static constexpr guard_settings non_latching_guard{.stop_is_permanent = false};
 
@@ -279,7 +281,12 @@
     }
     const auto share_of_time =
         std::chrono::duration_cast<std::chrono::milliseconds>(order_.time * settings_.finish_lead_fraction);
-    const auto finish_lead = std::max(settings_.min_finish_lead, share_of_time) + settings_.report_spread;
+    // A version whose faults show only under full load is exposed to all requests from here on.
+    const double max_lead_share = settings_.max_exposed_share - settings_.exposed_share - exposure_margin;
+    const auto max_lead =
+        std::chrono::duration_cast<std::chrono::milliseconds>(order_.time * std::max(0.0, max_lead_share));
+    const auto finish_lead =
+        std::min(std::max(settings_.min_finish_lead, share_of_time) + settings_.report_spread, max_lead);
     if (now - started_ < order_.time - finish_lead + delay) {
         return std::nullopt;
     }
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -107,6 +107,26 @@
     CHECK(before + left < 0.15);
 }
 
+// Guards against a short roll-out that is completed so early that a version which is bad only under full load gets more
+// requests than operators allow.
+SCENARIO("a roll-out of any duration keeps the operators' limit on exposed requests")
+{
+    const auto time_allowed = GENERATE(12s, 15s, 24s, 60s);
+    const double limit = GENERATE(0.12, 0.15);
+    CAPTURE(time_allowed.count(), limit);
+    rollout_settings settings;
+    settings.max_exposed_share = limit;
+    manual_clock time;
+    const steady_time ordered = time.now();
+    rollout_watch watch{{order.service, order.target, time_allowed}, settings, 1, {}, ordered};
+    while (!watch.next_report(time.now(), true, true)) {
+        REQUIRE(time.now() < ordered + time_allowed);
+        time.advance(10ms);
+    }
+    const double left = 1 - std::chrono::duration<double>(time.now() - ordered) / time_allowed;
+    CHECK((1 - left) * settings.exposed_share + left < limit);
+}
+
 SCENARIO("a roll-out to a version without a known server is not completed, as the old servers would stop")
 {
     manual_clock time;
