Refuse odd entries among the servers, and hold the others

Reported by operators of similar systems: an entry of another writer (very deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

Here nothing ended: nesting and size are limited before parsing, and the errors of the JSON library are values. But numbers were converted without a check, so 2^40, 1e300 (undefined) or -1 slots became some other number, and a server with four billion slots draws all requests of its service; ports out of range, control characters in names (written into headers) and one key that is not UTF-8 in a page, which hid the page, were accepted.

Change: slots and start time must be whole numbers in range, the address an IPv4 address with a port from 1, names and key printable; an entry that isn't is refused with a log line and names no server.

--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -31,6 +31,9 @@
     std::function<void()> drained;
 };
 
+/// @return whether the text is an IPv4 address with a port that a connection can be opened to.
+bool is_connectable_address(const std::string& text);
+
 /// A connection that is open or being opened. Owned by shared pointer, so that callbacks may drop it.
 class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
 public:
--- a/lib/gateway/evidence_record.cpp
+++ b/lib/gateway/evidence_record.cpp
@@ -32,21 +32,29 @@
     return {vm_name + "/" + evidence.service.value(), document.dump(), 0};
 }
 
+/// @return a count of answers, far below the range of its type, so that sums of all VMs cannot overflow.
+static std::uint64_t read_count(const json& number)
+{
+    constexpr std::uint64_t max_count = std::uint64_t{1} << 40U;
+    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max_count) {
+        throw std::invalid_argument{"a count is not a whole number in range"};
+    }
+    return number.get<std::uint64_t>();
+}
+
 /// Reads the tallies by class, or of all classes together if an earlier version wrote the record.
 static std::array<rollout_tallies, rollout_classes> read_classes(const json& document)
 {
     std::array<rollout_tallies, rollout_classes> tallies{};
     const auto classes = document.find("classes");
     if (classes == document.end()) {
-        tallies[0].target = {document.at("target_good").get<std::uint64_t>(),
-                             document.at("target_bad").get<std::uint64_t>()};
-        tallies[0].others = {document.at("others_good").get<std::uint64_t>(),
-                             document.at("others_bad").get<std::uint64_t>()};
+        tallies[0].target = {read_count(document.at("target_good")), read_count(document.at("target_bad"))};
+        tallies[0].others = {read_count(document.at("others_good")), read_count(document.at("others_bad"))};
         return tallies;
     }
     for (std::size_t i = 0; i < tallies.size(); ++i) {
-        const auto row = classes->at(i).get<std::array<std::uint64_t, 4>>();
-        tallies[i] = {{row[0], row[1]}, {row[2], row[3]}};
+        const json& row = classes->at(i);
+        tallies[i] = {{read_count(row.at(0)), read_count(row.at(1))}, {read_count(row.at(2)), read_count(row.at(3))}};
     }
     return tallies;
 }
@@ -64,14 +72,17 @@
         evidence.target = version_name{document->at("target").get<std::string>()};
         evidence.classes = read_classes(*document);
         // Optional: VMs that run an earlier version do not write these fields.
-        evidence.others_good_concurrent = document->value("others_good_beside", std::uint64_t{0});
-        evidence.others_bad_concurrent = document->value("others_bad_beside", std::uint64_t{0});
+        evidence.others_good_concurrent = read_count(document->value("others_good_beside", json{0U}));
+        evidence.others_bad_concurrent = read_count(document->value("others_bad_beside", json{0U}));
         evidence.pinned_sessions = document->at("staying").get<std::vector<std::uint64_t>>();
         return evidence;
     }
     catch (const json::exception& problem) {
         return failure(error_code::malformed, problem.what());
     }
+    catch (const std::invalid_argument& problem) {
+        return failure(error_code::malformed, problem.what());
+    }
 }
 
 } // namespace agatespar
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -50,6 +50,12 @@
     return address;
 }
 
+bool is_connectable_address(const std::string& text)
+{
+    const auto address = parse_address(text);
+    return address && address->sin_port != 0;
+}
+
 static void set_options(int descriptor)
 {
     const int one = 1;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -364,6 +364,30 @@
             self.assertEqual(self.fetch("unsafe")[1], 200)
         self.assertEqual(len(self.fleet.counts("calls-1")["runs"]), before)
 
+    # Guards against VMs that end, stop following the servers, or send to nobody because of an odd entry of another writer.
+    def test_odd_entries_among_the_servers_are_ignored_and_the_others_hold(self):
+        nested = []
+        for _ in range(400):
+            nested = [nested]
+        sound = self.servers["calls-1"]
+        odd = {"odd-1": {**sound, "extra": nested}, "odd-2": {**sound, "slots": 2**40}, "odd-3": {**sound, "slots": -1},
+               "odd-4": {**sound, "slots": 1e300}, "odd-5": {**sound, "born": 2**70}, "odd-6": {**sound, "zone": None},
+               "odd-7": {**sound, "address": "127.0.0.1:70000"}, "odd-8": [sound], "odd-9": "\u0000",
+               "odd-10\r\nX-Tenant: other": sound}
+        for key, value in odd.items():
+            self.put_record("keyed.servers", key, value if not isinstance(value, dict) else {**value, "state": "ready"})
+        wait_until(lambda: len({line["server"] for line in self.log_lines("vm-1", "server_entry_unreadable")}) == len(odd),
+                   "each odd entry to be refused")
+        for _ in range(12):
+            self.assertEqual(self.fetch("unsafe")[1], 200)
+        self.publish_server("calls-1", "draining")
+        wait_until(lambda: self.log_lines("vm-1", "server_leaving"), "the VM to follow a later change")
+        self.assertEqual(self.fetch("unsafe")[1], 200)
+        self.assertEqual(len(self.log_lines("vm-1", "started")), 1)
+        # A VM that reads all entries at its start gets the same.
+        second = self.start_entry("vm-2", 3)
+        self.assertEqual(self.fetch("unsafe", entry=second)[1], 200)
+
     # Guards against requests to a server that has said that it is leaving while the store still says "ready".
     def test_a_server_that_says_in_an_answer_that_it_is_leaving_gets_no_new_requests(self):
         # Streams with the same prompt go to the same server.
--- a/unittests/entry/records_test.cpp
+++ b/unittests/entry/records_test.cpp
@@ -96,6 +96,30 @@
     CHECK(!read_server("i-1", broken));
 }
 
+// Guards against an odd entry of another writer that ends VMs, draws all requests, or hides the entries beside it.
+SCENARIO("a server's record with numbers or an address out of range is rejected")
+{
+    const std::string start = R"({"backend":"b","zone":"z","version":"v","state":"ready",)";
+    CHECK(read_server("i-1", start + R"("address":"10.0.0.1:80","slots":4})"));
+    const std::string odd = GENERATE(
+        R"("address":"10.0.0.1:80","slots":-1)", R"("address":"10.0.0.1:80","slots":1099511627776)",
+        R"("address":"10.0.0.1:80","slots":4294967295)", R"("address":"10.0.0.1:80","slots":1e300)",
+        R"("address":"10.0.0.1:80","slots":1e400)", R"("address":"10.0.0.1:80","slots":4.5)",
+        R"("address":"10.0.0.1:80","slots":18446744073709551616)", R"("address":"10.0.0.1:80","slots":4,"born":-1)",
+        R"("address":"10.0.0.1:80","slots":4,"born":1e300)",
+        R"("address":"10.0.0.1:80","slots":4,"cold_left_ms":1e300)",
+        R"("address":"10.0.0.1:80","slots":4,"cold_left_ms":-1)", R"("address":"10.0.0.1:80","slots":4,"models":"m")",
+        R"("address":"10.0.0.1:70000","slots":4)", R"("address":"10.0.0.1:0","slots":4)",
+        R"("address":"10.0.0.1:-1","slots":4)", R"("address":"10.0.0.1:99999999999999999999","slots":4)",
+        R"("address":"10.0.0.1","slots":4)", R"("address":"10.0.0.1:80\r\nX-Tenant: a","slots":4)");
+    CAPTURE(odd);
+    CHECK(!read_server("i-1", start + odd + "}"));
+    CHECK(!read_server("i-1\r\nX-Tenant: a", start + R"("address":"10.0.0.1:80","slots":4})"));
+    const std::string deep(100'000, '[');
+    CHECK(!read_server("i-1", start + R"("address":"10.0.0.1:80","slots":4,"x":)" + deep));
+    CHECK(!read_server("i-1", std::string(100'000, '{')));
+}
+
 SCENARIO("orders and reports are identified by their keys and read")
 {
     CHECK(read_operator_key("config").what == operator_key::subject::service_map);
--- a/unittests/entry/store_test.cpp
+++ b/unittests/entry/store_test.cpp
@@ -130,6 +130,20 @@
     CHECK((*result)->records.at(0).offset == 4);
 }
 
+// Guards against a key of another writer that makes a VM stop following a topic.
+SCENARIO("a key that is not UTF-8 does not hide the other records of a page")
+{
+    store_fixture test;
+    std::optional<outcome<newest_page>> result;
+    test.store.read_newest(fleet_topic::servers, "", [&result](outcome<newest_page> page) { result = page; });
+    test.answer("200 OK", "{\"items\":[{\"key\":\"\xff\xfe\",\"value\":\"e30=\",\"offset\":4},"
+                          "{\"key\":\"i-1\",\"value\":\"e30=\",\"offset\":5}],\"end\":6}");
+    run_until(test.loop, [&result] { return result.has_value(); });
+    REQUIRE(*result);
+    REQUIRE((*result)->records.size() == 2);
+    CHECK((*result)->records[1].key == "i-1");
+}
+
 SCENARIO("an append distinguishes written, not written, and unknown")
 {
     store_fixture test;
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -457,6 +457,12 @@
 SCENARIO("evidence that can't be read is an error")
 {
     CHECK(!read_evidence("{}"));
+    const std::string counts = GENERATE("[-1,0,0,0]", "[1e300,0,0,0]", "[18446744073709551615,0,0,0]", "[1]", "{}");
+    std::string classes = counts;
+    for (std::size_t i = 1; i < rollout_classes; ++i) {
+        classes += ",[0,0,0,0]";
+    }
+    CHECK(!read_evidence(R"({"vm":1,"service":"s","target":"t","staying":[],"classes":[)" + classes + "]}"));
     CHECK(!read_evidence("[]"));
     CHECK(!read_evidence("\xff"));
     CHECK(!read_evidence(R"({"vm":1,"service":"s","target":"t","target_good":"many"})"));
