Take a refusal only if it names the request

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run, try again' for requests that ran (REFUSED), or these ran twice (TWICE).

Here an answer that names another request was skipped, and requests that must run at most once get connections of their own. But a refusal without any id was taken as one of the request, on a new connection, too.

Change: X-Not-Executed and 421 prove that a request hasn't run only in an answer that names it; without, the attempt counts as one that may have run. A request that itself has no id is refused without one, as before.

Test: a server that writes a refusal before each answer. test_a_refusal_that_names_no_request_proves_nothing fails with the daemon before (a booking that ran at the faulty server ran at a second one, 200) and passes now; test_a_refusal_of_another_request_is_skipped passes with both.

--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -34,6 +34,12 @@
     record_progress();
     owner_.zones_.note_reached(*server_);
     release_unread_tokens();
+    if (metadata.not_run &&
+        find_header(head.headers, owner_.protocol_.id_header).value_or("") != metadata_.id.value()) {
+        // It may be an answer to an earlier request of the server, while it runs this one.
+        on_failed({send_state::sent, "the refusal does not name the request"});
+        return;
+    }
     if (metadata.not_run) {
         on_not_run(metadata);
         return;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 import unittest
 
@@ -355,6 +356,78 @@
         )
 
 
+class RepeatingServer:
+    """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
+
+    def __init__(self, name, refused_id):
+        self.name = name
+        self.refused_id = refused_id
+        self.runs = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            while reader.readline():
+                headers = http.client.parse_headers(reader)
+                reader.read(int(headers.get("Content-Length", 0)))
+                identity = headers["X-Attempt-Id"]
+                self.runs.append(identity)
+                named = f"X-Attempt-Id: {self.refused_id}\r\n" if self.refused_id else ""
+                try:
+                    connection.sendall(
+                        f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n{named}Content-Length: 0\r\n\r\n".encode())
+                    time.sleep(0.02)
+                    connection.sendall(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {identity}\r\n"
+                                       "Content-Length: 3\r\n\r\nran".encode())
+                except OSError:
+                    return
+
+
+class WithRepeatedRefusals(GatewayCase):
+    """All servers of a service that run requests but one are replaced by a faulty one."""
+
+    def start_repeating_server(self, refused_id):
+        server = RepeatingServer("calls-9", refused_id)
+        self.addCleanup(server.listener.close)
+        self.put_record("keyed.servers", "calls-9", {**self.servers["calls-1"], "address": server.address,
+                                                     "state": "ready"})
+        self.publish_server("calls-2", "draining")
+        wait_until(lambda: self.log_lines("vm-1", "server_leaving"), "the change of servers to be applied")
+        return server
+
+    # Guards against "not run, try again" for a request that runs, and against a second run of it.
+    def test_a_refusal_that_names_no_request_proves_nothing(self):
+        server = self.start_repeating_server(None)
+        for _ in range(12):
+            identity, status, _, _ = self.fetch("unsafe")
+            if identity in server.runs:
+                self.assertEqual(status, 502)
+                self.assertEqual(self.count_runs(identity), 0)
+            else:
+                self.assertEqual(status, 200)
+        self.assertTrue(server.runs)
+
+    def test_a_refusal_of_another_request_is_skipped(self):
+        server = self.start_repeating_server("attempt-of-before")
+        for _ in range(12):
+            for kind in ("unsafe", "safe"):
+                identity, status, _, text = self.fetch(kind)
+                self.assertEqual(status, 200)
+                self.assertEqual(self.count_runs(identity) + server.runs.count(identity), 1)
+                self.assertEqual(text == "ran", identity in server.runs)
+        self.assertTrue(server.runs)
+
+
 class WithChangingServers(GatewayCase):
     def test_a_draining_server_gets_no_new_requests(self):
         self.publish_server("calls-1", "draining")
