--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 import unittest
 
@@ -355,6 +356,78 @@
         )
 
 
+class RepeatingServer:
+    """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
+
+    def __init__(self, name, refused_id):
+        self.name = name
+        self.refused_id = refused_id
+        self.runs = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            while reader.readline():
+                headers = http.client.parse_headers(reader)
+                reader.read(int(headers.get("Content-Length", 0)))
+                identity = headers["X-Attempt-Id"]
+                self.runs.append(identity)
+                named = f"X-Attempt-Id: {self.refused_id}\r\n" if self.refused_id else ""
+                try:
+                    connection.sendall(
+                        f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n{named}Content-Length: 0\r\n\r\n".encode())
+                    time.sleep(0.02)
+                    connection.sendall(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {identity}\r\n"
+                                       "Content-Length: 3\r\n\r\nran".encode())
+                except OSError:
+                    return
+
+
+class WithRepeatedRefusals(GatewayCase):
+    """All servers of a service that run requests but one are replaced by a faulty one."""
+
+    def start_repeating_server(self, refused_id):
+        server = RepeatingServer("calls-9", refused_id)
+        self.addCleanup(server.listener.close)
+        self.put_record("keyed.servers", "calls-9", {**self.servers["calls-1"], "address": server.address,
+                                                     "state": "ready"})
+        self.publish_server("calls-2", "draining")
+        wait_until(lambda: self.log_lines("vm-1", "server_leaving"), "the change of servers to be applied")
+        return server
+
+    # Guards against "not run, try again" for a request that runs, and against a second run of it.
+    def test_a_refusal_that_names_no_request_proves_nothing(self):
+        server = self.start_repeating_server(None)
+        for _ in range(12):
+            identity, status, _, _ = self.fetch("unsafe")
+            if identity in server.runs:
+                self.assertEqual(status, 502)
+                self.assertEqual(self.count_runs(identity), 0)
+            else:
+                self.assertEqual(status, 200)
+        self.assertTrue(server.runs)
+
+    def test_a_refusal_of_another_request_is_skipped(self):
+        server = self.start_repeating_server("attempt-of-before")
+        for _ in range(12):
+            for kind in ("unsafe", "safe"):
+                identity, status, _, text = self.fetch(kind)
+                self.assertEqual(status, 200)
+                self.assertEqual(self.count_runs(identity) + server.runs.count(identity), 1)
+                self.assertEqual(text == "ran", identity in server.runs)
+        self.assertTrue(server.runs)
+
+
 class WithChangingServers(GatewayCase):
     def test_a_draining_server_gets_no_new_requests(self):
         self.publish_server("calls-1", "draining")
@@ -364,6 +437,59 @@
             self.assertEqual(self.fetch("unsafe")[1], 200)
         self.assertEqual(len(self.fleet.counts("calls-1")["runs"]), before)
 
+    # Guards against VMs that end, stop following the servers, or send to nobody because of an odd entry of another writer.
+    def test_odd_entries_among_the_servers_are_ignored_and_the_others_hold(self):
+        nested = []
+        for _ in range(400):
+            nested = [nested]
+        sound = self.servers["calls-1"]
+        odd = {"odd-1": {**sound, "extra": nested}, "odd-2": {**sound, "slots": 2**40}, "odd-3": {**sound, "slots": -1},
+               "odd-4": {**sound, "slots": 1e300}, "odd-5": {**sound, "born": 2**70}, "odd-6": {**sound, "zone": None},
+               "odd-7": {**sound, "address": "127.0.0.1:70000"}, "odd-8": [sound], "odd-9": "\u0000",
+               "odd-10\r\nX-Tenant: other": sound}
+        for key, value in odd.items():
+            self.put_record("keyed.servers", key, value if not isinstance(value, dict) else {**value, "state": "ready"})
+        wait_until(lambda: len({line["server"] for line in self.log_lines("vm-1", "server_entry_unreadable")}) == len(odd),
+                   "each odd entry to be refused")
+        for _ in range(12):
+            self.assertEqual(self.fetch("unsafe")[1], 200)
+        self.publish_server("calls-1", "draining")
+        wait_until(lambda: self.log_lines("vm-1", "server_leaving"), "the VM to follow a later change")
+        self.assertEqual(self.fetch("unsafe")[1], 200)
+        self.assertEqual(len(self.log_lines("vm-1", "started")), 1)
+        # A VM that reads all entries at its start gets the same.
+        second = self.start_entry("vm-2", 3)
+        self.assertEqual(self.fetch("unsafe", entry=second)[1], 200)
+
+    # Guards against requests to a server that has said that it is leaving while the store still says "ready".
+    def test_a_server_that_says_in_an_answer_that_it_is_leaving_gets_no_new_requests(self):
+        # Streams with the same prompt go to the same server.
+        identity = self.fetch("stream")[0]
+        talking = next(name for name in self.servers if identity in self.fleet.counts(name)["runs"])
+        leaving = ("calls-1", talking)
+        self.fleet.faults("store", down=True)
+        self.fleet.faults("calls-1", leaving=True)
+        self.fleet.faults(talking, leaving=True, events=100)
+        word_seen = lambda: {line["server"] for line in self.log_lines("vm-1", "server_says_leaving")}
+        streams = [BackgroundTask(lambda: self.fetch("stream")) for _ in range(8)]
+        for _ in range(20):
+            self.assertEqual(self.fetch("unsafe")[1], 200)
+            self.assertEqual(self.fetch("safe")[1], 200)
+        wait_until(lambda: word_seen() == set(leaving), "both servers to say that they are leaving")
+        before = {name: sum(self.fleet.counts(name)["runs"].values()) for name in leaving}
+        # The store is back and still has the servers as ready.
+        self.fleet.faults("store", down=False)
+        for server in leaving:
+            self.publish_server(server, "ready")
+        for _ in range(12):
+            for kind in ("safe", "unsafe", "stream"):
+                self.assertEqual(self.fetch(kind)[1], 200)
+        after = {name: sum(self.fleet.counts(name)["runs"].values()) for name in leaving}
+        self.assertEqual(after, before)
+        # What runs there goes on to its end.
+        for stream in streams:
+            self.assertEqual(stream.wait()[1], 200)
+
     def test_an_evacuated_zone_gets_no_requests_until_the_order_is_revoked(self):
         self.put_record("keyed.op", "evacuate/hall-a", {})
         wait_until(lambda: self.log_lines("vm-1", "zone_evacuated"), "the order to be applied")
