Judge the pace of streams only while a roll-out is in progress

Cause: after a roll-out had ended, each event of each stream still computed a median whose result was ignored. Found in the read of the change; no measured effect. unittest_gateway passes.

--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -298,7 +298,10 @@
 void transparent_request::record_if_slow()
 {
     const rollout_watch* watch = owner_.fleet_.rollout_of(service_);
-    if (watch != nullptr && server_ && !rollout_result_recorded_ && watch->is_slow(describe_observed(*watch, true))) {
+    if (watch == nullptr || watch->state() != rollout_state::in_progress || !server_ || rollout_result_recorded_) {
+        return;
+    }
+    if (watch->is_slow(describe_observed(*watch, true))) {
         record_rollout_result(true);
     }
 }
