Weigh a version that fails on a single route by that route

Cause: the guard's hypotheses degrade all classes of routes alike. At the report of completion 35 of 108 answers were bad, all but two on one route; the good answers of the other routes outweighed them, as the old version failed 181 of 1,120 through crashes and cuts, which raises the tolerance for every route.

Change: half of the weight goes to hypotheses that degrade one class each. The weights still sum to one, so the bound on false alarms holds.

Test: a version that fails on one route while 15 or 30 in 100 answers of the old one fail was completed before and is reverted now. The tests with faults of both versions, and of good versions, pass as before.

--- a/lib/routing/version_guard.cpp
+++ b/lib/routing/version_guard.cpp
@@ -10,6 +10,8 @@
 
 // The alternative hypotheses of the test: the fraction of the good answers that a bad version turns into bad ones.
 static constexpr std::array<double, 4> degradation_shares{0.08, 0.2, 0.45, 0.8};
+// Limits the likelihood ratio of one hypothesis, so that it remains finite.
+static constexpr double max_log_ratio = 600;
 // Beyond this number, the oldest test is dropped. That can only lower the evidence, so the error bound remains valid.
 static constexpr std::size_t max_tests = 64;
 // The upper bound of the incumbent's share of bad answers lies this many standard errors above the mean.
@@ -67,7 +69,10 @@
 double version_guard::evidence_since(const test_start& start, const answer_counts& counts,
                                      const answer_tally& concurrent_incumbent) const
 {
+    // A bad version may degrade all classes alike, or a single one: the good answers of the others are then no evidence
+    // for it. The sum of the weights of all hypotheses is one.
     std::array<double, degradation_shares.size()> log_ratios{};
+    double single_class_sum = 0;
     const answer_tally since{concurrent_incumbent.good - start.concurrent_incumbent.good,
                              concurrent_incumbent.bad - start.concurrent_incumbent.bad};
     const bool fault_affects_both = is_unusually_bad(since, sum_of(counts, incumbent_));
@@ -82,14 +87,19 @@
         const double tolerated = std::max(tolerated_concurrent, tolerated_bad_share(incumbent, settings_.tolerance));
         for (std::size_t k = 0; k < degradation_shares.size(); ++k) {
             const double alternative = tolerated + degradation_shares[k] * (1 - tolerated);
-            log_ratios[k] +=
+            const double log_ratio =
                 bad * std::log(alternative / tolerated) + good * std::log((1 - alternative) / (1 - tolerated));
+            log_ratios[k] += log_ratio;
+            single_class_sum += std::exp(std::min(log_ratio, max_log_ratio));
         }
     }
-    double sum = 0;
+    double all_classes_sum = 0;
     for (const double log_ratio : log_ratios)
-        sum += std::exp(std::min(log_ratio, 600.0));
-    return sum / static_cast<double>(degradation_shares.size());
+        all_classes_sum += std::exp(std::min(log_ratio, max_log_ratio));
+    const double shares = static_cast<double>(degradation_shares.size());
+    if (counts.classes() == 1)
+        return all_classes_sum / shares;
+    return (all_classes_sum + single_class_sum / static_cast<double>(counts.classes())) / (2 * shares);
 }
 
 /// Starts a test after every `answers_per_test` answers. The k-th test has the weight 1/(k(k+1)); the weights sum to
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -312,6 +312,31 @@
     }
 }
 
+// Guards against a version that fails on one route only and is completed, because its other routes' good answers
+// outweigh that while servers of the old version fail.
+SCENARIO("a version that fails on one route is reverted even while servers of the old version fail")
+{
+    const double fault_rate = GENERATE(0.0, 0.15, 0.3);
+    CAPTURE(fault_rate);
+    fleet test{9};
+    while (!test.report) {
+        REQUIRE(test.time.now() < steady_time{1h} + 24s);
+        for (rollout_watch& vm : test.vms) {
+            const bool by_target =
+                vm.choose(test.draw(), std::nullopt, 9, test.time.now()) == version_choice::prefer_target;
+            const std::string route = std::array{"briefs", "questions", "summaries"}[test.answers++ % 3];
+            const bool fails = by_target && route == "questions" && test.draw() < 0.8;
+            const bool good = by_target ? !fails : test.draw() >= fault_rate;
+            vm.note_answer({by_target, route, route, good, 200ms, std::nullopt}, test.time.now());
+            test.bad_answers += fails ? 1 : 0;
+        }
+        test.time.advance(100ms);
+        test.exchange();
+    }
+    CHECK(test.report->state == rollout_state::reverted);
+    CHECK(test.bad_answers <= 50);
+}
+
 SCENARIO("a version with the same error rate as the old one is not reverted")
 {
     fleet test{9};
