Give sums of answers, whole numbers and timers one home each

Concurrent answers are a tally instead of two numbers. - Two scenarios share the step over three routes; an unused field of the faulty server in test/gateway_test.py goes.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -76,8 +76,7 @@
     /// The answers of the target and of the other versions, by class of route.
     std::array<rollout_tallies, rollout_classes> classes{};
     /// The other versions' recent answers, given in the same period as the target's, that were in no earlier record.
-    std::uint64_t others_good_concurrent{0};
-    std::uint64_t others_bad_concurrent{0};
+    answer_tally others_concurrent;
     /// Hashes of the sessions that were active when the order arrived.
     std::vector<std::uint64_t> pinned_sessions;
 };
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -105,7 +105,7 @@
 
     /// Chooses the version of a request. A session keeps its version.
     /// @param draw uniform in [0, 1), for requests without a session.
-    /// @param vms number of VMs that share the traffic.
+    /// @param vms number of VMs that share the traffic, at least one.
     version_choice choose(double draw, std::optional<session_hash> session, double vms, steady_time now);
     /// @return the valid choice for a request whose version was chosen earlier: once the roll-out has ended, its
     /// outcome replaces the earlier choice.
@@ -117,7 +117,8 @@
     /// counts as bad whatever its end is, so it can be counted while it lasts.
     bool is_slow(const observed_answer& answer) const;
     /// Counts an answer. An answer that is_slow() counts as bad.
-    void note_answer(const observed_answer& answer, steady_time now);
+    /// @return whether it counted as slow.
+    bool note_answer(const observed_answer& answer, steady_time now);
     /// Merges the counts and sessions that another VM reports.
     void apply_evidence(const rollout_evidence& evidence, steady_time now);
     /// @return this VM's counts and sessions, if they should be sent to the other VMs now.
@@ -144,7 +145,6 @@
         answer_tally answers;
     };
 
-    answer_tally total(version_index version) const;
     void note_old_version_answer(bool good, steady_time now);
     void update_usual_times(const observed_answer& answer);
     answer_tally take_unsent_old_answers(steady_time now);
--- a/include/agatespar/routing/answer_counts.h
+++ b/include/agatespar/routing/answer_counts.h
@@ -46,16 +46,17 @@
     {
         return totals_[tally_index(version, request_class)];
     }
-    std::size_t versions() const { return totals_.size() / classes_; }
-    std::size_t classes() const { return classes_; }
-
-private:
+    /// @return the sum over all VMs and classes.
+    answer_tally total(version_index version) const;
     /// @return the position of a tally in a row.
     std::size_t tally_index(version_index version, class_index request_class) const
     {
         return version.value() * classes_ + request_class.value();
     }
+    std::size_t versions() const { return totals_.size() / classes_; }
+    std::size_t classes() const { return classes_; }
 
+private:
     boot_id own_;
     std::size_t classes_;
     /// The last known row of each VM.
--- a/include/agatespar/support/json.h
+++ b/include/agatespar/support/json.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace agatespar {
@@ -20,4 +21,9 @@
 /// with the position of the error.
 outcome<nlohmann::json> parse_json(std::string_view text, const json_limits& limits = {});
 
+/// Reads a whole number of an untrusted document. The library would convert negative numbers and fractions without an
+/// error, and to any value if they are out of range.
+/// @param name of the field, for the message. @throws std::invalid_argument if it is not a whole number up to `max`.
+std::uint64_t read_whole_number(const nlohmann::json& number, std::string_view name, std::uint64_t max);
+
 } // namespace agatespar
--- a/lib/gateway/evidence_record.cpp
+++ b/lib/gateway/evidence_record.cpp
@@ -26,8 +26,8 @@
                         {"others_good", sum.others.good},
                         {"others_bad", sum.others.bad},
                         {"classes", classes},
-                        {"others_good_beside", evidence.others_good_concurrent},
-                        {"others_bad_beside", evidence.others_bad_concurrent},
+                        {"others_good_beside", evidence.others_concurrent.good},
+                        {"others_bad_beside", evidence.others_concurrent.bad},
                         {"staying", evidence.pinned_sessions}};
     return {vm_name + "/" + evidence.service.value(), document.dump(), 0};
 }
@@ -36,10 +36,7 @@
 static std::uint64_t read_count(const json& number)
 {
     constexpr std::uint64_t max_count = std::uint64_t{1} << 40U;
-    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max_count) {
-        throw std::invalid_argument{"a count is not a whole number in range"};
-    }
-    return number.get<std::uint64_t>();
+    return read_whole_number(number, "a count of answers", max_count);
 }
 
 /// Reads the tallies by class, or of all classes together if an earlier version wrote the record.
@@ -72,8 +69,8 @@
         evidence.target = version_name{document->at("target").get<std::string>()};
         evidence.classes = read_classes(*document);
         // Optional: VMs that run an earlier version do not write these fields.
-        evidence.others_good_concurrent = read_count(document->value("others_good_beside", json{0U}));
-        evidence.others_bad_concurrent = read_count(document->value("others_bad_beside", json{0U}));
+        evidence.others_concurrent = {read_count(document->value("others_good_beside", json{0U})),
+                                      read_count(document->value("others_bad_beside", json{0U}))};
         evidence.pinned_sessions = document->at("staying").get<std::vector<std::uint64_t>>();
         return evidence;
     }
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -268,7 +268,7 @@
 
 double gateway::assumed_vms() const
 {
-    return std::max(settings_.min_vms, settings_.vm_count_factor * static_cast<double>(relay_->vms()));
+    return std::max(settings_.min_vms, settings_.vm_count_factor * listed_vms());
 }
 
 double gateway::listed_vms() const
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -22,11 +22,16 @@
 // A stop is not final, as a good version may look bad for a moment, until its good answers are reported.
 static constexpr guard_settings non_latching_guard{.stop_is_permanent = false};
 
+static class_index class_at(std::size_t index)
+{
+    return class_index{static_cast<std::uint8_t>(index)};
+}
+
 /// @return the class of a route, equal on all VMs. Routes of one service may fail at very different rates, so the
 /// versions are compared route by route.
 static class_index class_of_route(const std::string& route)
 {
-    return class_index{static_cast<std::uint8_t>(stable_hash(route) % rollout_classes)};
+    return class_at(stable_hash(route) % rollout_classes);
 }
 
 rollout_watch::rollout_watch(const rollout_order& order, const rollout_settings& settings, std::uint64_t own_id,
@@ -53,7 +58,7 @@
     }
     const double position = session ? session_fraction(*session) : draw;
     const bool is_early =
-        !session && static_cast<double>(exposed_without_session_) + 1 <= settings_.early_requests / std::max(1.0, vms);
+        !session && static_cast<double>(exposed_without_session_) + 1 <= settings_.early_requests / vms;
     const double share = settings_.exposed_share * (is_early ? settings_.early_share_factor : 1);
     if (state_ == rollout_state::reverted || position >= share) {
         return version_choice::others_only;
@@ -115,12 +120,13 @@
            in_seconds(*answer.event_interval) > settings_.slow_pace_factor * usual->second.event_interval;
 }
 
-void rollout_watch::note_answer(const observed_answer& answer, steady_time now)
+bool rollout_watch::note_answer(const observed_answer& answer, steady_time now)
 {
     if (state_ != rollout_state::in_progress) {
-        return;
+        return false;
     }
-    const bool good = answer.good && !is_slow(answer);
+    const bool slow = is_slow(answer);
+    const bool good = answer.good && !slow;
     if (answer.by_target) {
         counts_.record(target_index, class_of_route(answer.route), good);
         if (!good) {
@@ -135,6 +141,7 @@
         }
     }
     verdict_current_ = false;
+    return slow;
 }
 
 /// Adds an answer of the old version to the averages of its group.
@@ -171,8 +178,7 @@
     answer_tally sum;
     for (const interval_tally& each : std::exchange(unsent_old_answers_, {})) {
         if (now - each.begin <= settings_.comparison_window) {
-            sum.good += each.answers.good;
-            sum.bad += each.answers.bad;
+            sum += each.answers;
         }
     }
     return sum;
@@ -192,15 +198,6 @@
     }
 }
 
-answer_tally rollout_watch::total(version_index version) const
-{
-    answer_tally sum;
-    for (std::size_t i = 0; i < rollout_classes; ++i) {
-        sum += counts_.total(version, class_index{static_cast<std::uint8_t>(i)});
-    }
-    return sum;
-}
-
 void rollout_watch::apply_evidence(const rollout_evidence& evidence, steady_time now)
 {
     if (evidence.vm == own_id_ || evidence.target != order_.target) {
@@ -208,19 +205,18 @@
     }
     std::array<answer_tally, versions * rollout_classes> row;
     for (std::size_t i = 0; i < rollout_classes; ++i) {
-        row[others_index.value() * rollout_classes + i] = evidence.classes[i].others;
-        row[target_index.value() * rollout_classes + i] = evidence.classes[i].target;
+        row[counts_.tally_index(others_index, class_at(i))] = evidence.classes[i].others;
+        row[counts_.tally_index(target_index, class_at(i))] = evidence.classes[i].target;
     }
-    const answer_tally target_before = total(target_index);
-    const answer_tally others_before = total(others_index);
+    const answer_tally target_before = counts_.total(target_index);
+    const answer_tally others_before = counts_.total(others_index);
     counts_.merge(boot_id{evidence.vm}, row);
-    if (total(target_index).bad > target_before.bad) {
+    if (counts_.total(target_index).bad > target_before.bad) {
         last_bad_at_ = now;
     }
     // The same record may be received more than once.
-    if (total(others_index) != others_before) {
-        concurrent_old_answers_.good += evidence.others_good_concurrent;
-        concurrent_old_answers_.bad += evidence.others_bad_concurrent;
+    if (counts_.total(others_index) != others_before) {
+        concurrent_old_answers_ += evidence.others_concurrent;
     }
     pinned_sessions_.insert(evidence.pinned_sessions.begin(), evidence.pinned_sessions.end());
     verdict_current_ = false;
@@ -235,8 +231,8 @@
     rollout_evidence evidence;
     answer_tally target;
     for (std::size_t i = 0; i < rollout_classes; ++i) {
-        evidence.classes[i].others = row[others_index.value() * rollout_classes + i];
-        evidence.classes[i].target = row[target_index.value() * rollout_classes + i];
+        evidence.classes[i].others = row[counts_.tally_index(others_index, class_at(i))];
+        evidence.classes[i].target = row[counts_.tally_index(target_index, class_at(i))];
         target += evidence.classes[i].target;
     }
     // After a bad answer, good ones are reported at the same interval as bad ones; otherwise the version would look
@@ -258,9 +254,7 @@
     evidence.vm = own_id_;
     evidence.service = order_.service;
     evidence.target = order_.target;
-    const answer_tally unsent_old_answers = take_unsent_old_answers(now);
-    evidence.others_good_concurrent = unsent_old_answers.good;
-    evidence.others_bad_concurrent = unsent_old_answers.bad;
+    evidence.others_concurrent = take_unsent_old_answers(now);
     evidence.pinned_sessions = own_pinned_sessions_;
     return evidence;
 }
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -176,15 +176,20 @@
     finish(0, reason);
 }
 
-void transparent_request::finish(int status, const char* reason)
+void transparent_request::cancel_timers(std::initializer_list<std::optional<timer_id>*> timers)
 {
-    ended_ = true;
-    for (auto* timer : {&deadline_timer_, &retry_timer_, &silence_timer_}) {
+    for (auto* timer : timers) {
         if (*timer) {
             owner_.loop_.cancel(**timer);
             timer->reset();
         }
     }
+}
+
+void transparent_request::finish(int status, const char* reason)
+{
+    ended_ = true;
+    cancel_timers({&deadline_timer_, &retry_timer_});
     end_attempt(reason);
     report_.id = metadata_.id;
     report_.account = account_ ? account_->value() : "";
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -7,6 +7,7 @@
 #include <agatespar/gateway/request_report.h>
 #include <agatespar/gateway/silence.h>
 
+#include <initializer_list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -90,6 +91,7 @@
     /// Closes the client's connection within the answer, so that the client sees that the answer is incomplete.
     void abort_answer(const char* reason);
     void record_attempt(const fleet_server& server, std::size_t candidates);
+    void cancel_timers(std::initializer_list<std::optional<timer_id>*> timers);
     /// Cancels what is left of the current attempt and releases its server.
     /// @param outcome result of the attempt for the request's report, unless one was recorded already.
     void end_attempt(const char* outcome);
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -162,12 +162,7 @@
 
 void transparent_request::end_attempt(const char* outcome)
 {
-    for (auto* timer : {&silence_timer_, &slow_timer_}) {
-        if (*timer) {
-            owner_.loop_.cancel(**timer);
-            timer->reset();
-        }
-    }
+    cancel_timers({&silence_timer_, &slow_timer_});
     if (probe_) {
         probe_->cancel();
         probe_.reset();
@@ -279,8 +274,7 @@
         return;
     }
     const observed_answer answer = describe_observed(*watch, good);
-    const bool slow = watch->is_slow(answer);
-    watch->note_answer(answer, owner_.loop_.time().now());
+    const bool slow = watch->note_answer(answer, owner_.loop_.time().now());
     if (watch->state() == rollout_state::in_progress && answer.by_target && (!good || slow)) {
         const auto in_ms = [](duration time) { return std::chrono::duration_cast<std::chrono::milliseconds>(time); };
         log_event(log_severity::info, "rollout_answer_bad",
--- a/lib/routing/answer_counts.cpp
+++ b/lib/routing/answer_counts.cpp
@@ -22,6 +22,14 @@
     ++(good ? totals_[at].good : totals_[at].bad);
 }
 
+answer_tally answer_counts::total(version_index version) const
+{
+    answer_tally sum;
+    for (std::size_t i = 0; i < classes_; ++i)
+        sum += total(version, class_index{static_cast<std::uint8_t>(i)});
+    return sum;
+}
+
 void answer_counts::merge(boot_id vm, std::span<const answer_tally> row)
 {
     if (vm == own_ || row.size() != totals_.size())
--- a/lib/routing/version_guard.cpp
+++ b/lib/routing/version_guard.cpp
@@ -32,17 +32,6 @@
     return class_index{static_cast<std::uint8_t>(index)};
 }
 
-static answer_tally sum_of(const answer_counts& counts, version_index version)
-{
-    answer_tally sum;
-    for (std::size_t i = 0; i < counts.classes(); ++i) {
-        const answer_tally each = counts.total(version, class_at(i));
-        sum.good += each.good;
-        sum.bad += each.bad;
-    }
-    return sum;
-}
-
 /// @return an upper bound of the share of bad answers of a version that is as good as the incumbent.
 static double tolerated_bad_share(const answer_tally& incumbent, double tolerance)
 {
@@ -75,7 +64,7 @@
     double single_class_sum = 0;
     const answer_tally since{concurrent_incumbent.good - start.concurrent_incumbent.good,
                              concurrent_incumbent.bad - start.concurrent_incumbent.bad};
-    const bool fault_affects_both = is_unusually_bad(since, sum_of(counts, incumbent_));
+    const bool fault_affects_both = is_unusually_bad(since, verdict_.incumbent);
     const double tolerated_concurrent = fault_affects_both ? tolerated_bad_share(since, settings_.tolerance) : 0;
     for (std::size_t i = 0; i < counts.classes(); ++i) {
         const answer_tally now = counts.total(candidate_, class_at(i));
@@ -106,7 +95,7 @@
 /// one.
 void version_guard::start_test_if_due(const answer_counts& counts, const answer_tally& concurrent_incumbent)
 {
-    if (sum_of(counts, candidate_).total() < tests_started_ * settings_.answers_per_test)
+    if (verdict_.candidate.total() < tests_started_ * settings_.answers_per_test)
         return;
     ++tests_started_;
     test_start start;
@@ -123,8 +112,8 @@
 {
     if (verdict_.stop && settings_.stop_is_permanent)
         return verdict_;
-    verdict_.candidate = sum_of(counts, candidate_);
-    verdict_.incumbent = sum_of(counts, incumbent_);
+    verdict_.candidate = counts.total(candidate_);
+    verdict_.incumbent = counts.total(incumbent_);
     verdict_.evidence = 0;
     for (const test_start& start : tests_)
         verdict_.evidence += start.weight * evidence_since(start, counts, concurrent_incumbent);
--- a/lib/support/json.cpp
+++ b/lib/support/json.cpp
@@ -45,4 +45,12 @@
     }
 }
 
+std::uint64_t read_whole_number(const nlohmann::json& number, std::string_view name, std::uint64_t max)
+{
+    if (!number.is_number_unsigned() || number.get<std::uint64_t>() > max) {
+        throw std::invalid_argument{std::string{name} + " is not a whole number up to " + std::to_string(max)};
+    }
+    return number.get<std::uint64_t>();
+}
+
 } // namespace agatespar
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -359,8 +359,7 @@
 class RepeatingServer:
     """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
 
-    def __init__(self, name, refused_id):
-        self.name = name
+    def __init__(self, refused_id):
         self.refused_id = refused_id
         self.runs = []
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -397,7 +396,7 @@
     """All servers of a service that run requests but one are replaced by a faulty one."""
 
     def start_repeating_server(self, refused_id):
-        server = RepeatingServer("calls-9", refused_id)
+        server = RepeatingServer(refused_id)
         self.addCleanup(server.listener.close)
         self.put_record("keyed.servers", "calls-9", {**self.servers["calls-1"], "address": server.address,
                                                      "state": "ready"})
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -67,6 +67,25 @@
         time.advance(step_interval);
         exchange();
     }
+    /// Sends one request to each VM, to three routes in turn, then advances the clock.
+    /// @param bad share of the new version's answers on one of the routes that fail.
+    /// @param others_bad share of the old version's answers that fail.
+    /// @param others_slow share of the old version's streams whose events are slow.
+    void step_on_three_routes(double bad, double others_bad, double others_slow)
+    {
+        const auto happens = [this](double share) { return share > 0 && draw() < share; };
+        for (rollout_watch& vm : vms) {
+            const bool by_target = vm.choose(draw(), std::nullopt, static_cast<double>(vms.size()), time.now()) ==
+                                   version_choice::prefer_target;
+            const std::string route = std::array{"briefs", "questions", "summaries"}[answers++ % 3];
+            const bool fails = by_target ? route == "questions" && happens(bad) : happens(others_bad);
+            const duration interval = !by_target && happens(others_slow) ? 100ms : 25ms;
+            vm.note_answer({by_target, route, route, !fails, 200ms, interval}, time.now());
+            bad_answers += by_target && fails ? 1 : 0;
+        }
+        time.advance(step_interval);
+        exchange();
+    }
     /// Delivers the evidence that is due, and collects the first report.
     void exchange()
     {
@@ -319,19 +338,10 @@
     const double fault_rate = GENERATE(0.0, 0.15, 0.3);
     CAPTURE(fault_rate);
     fleet test{9};
+    test.step_interval = 100ms;
     while (!test.report) {
         REQUIRE(test.time.now() < steady_time{1h} + 24s);
-        for (rollout_watch& vm : test.vms) {
-            const bool by_target =
-                vm.choose(test.draw(), std::nullopt, 9, test.time.now()) == version_choice::prefer_target;
-            const std::string route = std::array{"briefs", "questions", "summaries"}[test.answers++ % 3];
-            const bool fails = by_target && route == "questions" && test.draw() < 0.8;
-            const bool good = by_target ? !fails : test.draw() >= fault_rate;
-            vm.note_answer({by_target, route, route, good, 200ms, std::nullopt}, test.time.now());
-            test.bad_answers += fails ? 1 : 0;
-        }
-        test.time.advance(100ms);
-        test.exchange();
+        test.step_on_three_routes(0.8, fault_rate, 0);
     }
     CHECK(test.report->state == rollout_state::reverted);
     CHECK(test.bad_answers <= 50);
@@ -347,18 +357,10 @@
     for (unsigned seed = 1; seed <= seeds; ++seed) {
         fleet test{9};
         test.random.seed(seed);
+        test.step_interval = 140ms;
         while (!test.report) {
             REQUIRE(test.time.now() < steady_time{1h} + 24s);
-            for (rollout_watch& vm : test.vms) {
-                const bool by_target =
-                    vm.choose(test.draw(), std::nullopt, 9, test.time.now()) == version_choice::prefer_target;
-                const std::string route = std::array{"briefs", "questions", "summaries"}[test.answers++ % 3];
-                const bool fails = by_target && route == "questions" && test.draw() < 0.4;
-                const duration interval = !by_target && test.draw() < 0.125 ? 100ms : 25ms;
-                vm.note_answer({by_target, route, route, !fails, 200ms, interval}, test.time.now());
-            }
-            test.time.advance(140ms);
-            test.exchange();
+            test.step_on_three_routes(0.4, 0, 0.125);
         }
         reverted += test.report->state == rollout_state::reverted ? 1 : 0;
     }
