Count a silent server's run until the server is known to have ended

A server that only falls silent for a second goes on with the request. The class is an absence of words taken for a proof.

Change: every attempt that may have reached its server counts. It stops to count when another start of the server is known, or when the store has given it up and it has not answered this VM's probes.

Ruled out: the list of tried servers that a cascade clears (the count of runs stays), refusals and failed sends.

--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -11,15 +11,25 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 
 namespace agatespar {
 
+/// Whether the directory still has a server, and if not, why.
+enum class directory_presence {
+    listed,
+    /// Its entry is gone from the store: the server has left, has ended, or could not reach the store.
+    entry_gone,
+    /// The server has started again since, or its name is another server's.
+    replaced,
+};
+
 /// A backend server and this VM's view of it. Its users share ownership, so it stays valid after the server was removed
 /// from the directory.
 struct fleet_server {
     server_record record;
-    bool was_removed{false};
+    directory_presence presence{directory_presence::listed};
     /// The server itself has said in an answer that it is leaving, whatever its record says.
     bool says_leaving{false};
     steady_time cold_until;
@@ -49,6 +59,15 @@
 /// @return whether the server may get new requests, by its record and by its own word.
 bool accepts_requests(const fleet_server& server);
 
+/// @return whether the server has certainly ended or been cut off, so that it no longer executes what it was sent:
+/// another start of it is known, or the store has given it up and it does not answer this VM either. Its silence alone
+/// shows neither.
+bool has_ended(const fleet_server& server);
+
+/// @param servers the servers that were sent a request and may have executed it.
+/// @return how many of them count towards the limit on runs of the request's route: those that have not ended.
+int count_runs(std::span<const std::shared_ptr<fleet_server>> servers);
+
 /// @return the estimated number of running and waiting requests at a server: its last report, corrected by this VM's
 /// own requests since then. The share of other VMs in the report decays with its age; otherwise a server that once
 /// reported a full load would get no requests, and so could never send a newer report.
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -47,6 +47,26 @@
     return !server.record.leaving && !server.says_leaving;
 }
 
+bool has_ended(const fleet_server& server)
+{
+    switch (server.presence) {
+    case directory_presence::listed:
+        return false;
+    case directory_presence::entry_gone:
+        // A server that leaves without saying so has no entry either, and goes on for a while.
+        return server.probe_failed_at > server.last_received_at;
+    case directory_presence::replaced:
+        return true;
+    }
+    return false;
+}
+
+int count_runs(std::span<const std::shared_ptr<fleet_server>> servers)
+{
+    const auto runs = [](const auto& server) { return !has_ended(*server); };
+    return static_cast<int>(std::count_if(servers.begin(), servers.end(), runs));
+}
+
 std::uint32_t estimated_load(const fleet_server& server, steady_time now)
 {
     const std::uint32_t reported = server.reported.running + server.reported.waiting;
@@ -72,7 +92,7 @@
     auto& known = servers_[record.name];
     if (!known || !is_same_start(known->record, record)) {
         if (known) {
-            known->was_removed = true;
+            known->presence = directory_presence::replaced;
         }
         known = std::make_shared<fleet_server>();
         known->cold_credits_updated_at = now;
@@ -101,7 +121,7 @@
         lapsing_.emplace(name, *store_back_at_ + settings_.lapse_grace);
         return;
     }
-    found->second->was_removed = true;
+    found->second->presence = directory_presence::entry_gone;
     servers_.erase(found);
 }
 
@@ -148,7 +168,7 @@
     for (const server_name& name : expired) {
         lapsing_.erase(name);
         if (const auto found = servers_.find(name); found != servers_.end()) {
-            found->second->was_removed = true;
+            found->second->presence = directory_presence::entry_gone;
             servers_.erase(found);
         }
     }
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -113,7 +113,7 @@
     if (progress_ == progress::may_have_run && !is_safe_to_retry(*route_)) {
         return false;
     }
-    return runs_ < route_->max_runs && sends_ < max_sends;
+    return count_runs(runs_) < route_->max_runs && sends_ < max_sends;
 }
 
 bool transparent_request::try_retry(retry_reason kind, const char* reason)
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -61,10 +61,11 @@
     void check_silence();
     /// Checks with a separate request whether the server is up. Abandons it if it doesn't answer in time.
     void probe_server();
+    /// Counts the current attempt as a run, once.
+    void count_run();
     /// Stops waiting for the server and retries on another one, if the limits on retries permit that;
     /// keeps waiting otherwise.
-    /// @param is_up the server may be executing the request, so the attempt counts as a run; false for a server that is
-    /// unreachable or down.
+    /// @param is_up the server answers probes; its silence says something about its version then.
     void abandon_server(bool is_up);
     void on_client_disconnected();
     /// Records the time to the first event of the largest model, or how long the request has waited for it.
@@ -122,7 +123,9 @@
     /// The client reads too slowly, so reading from its server is paused.
     bool paused_for_client_{false};
     int sends_{0};
-    int runs_{0};
+    /// The servers that may have executed the request, one for each attempt that counts as a run.
+    std::vector<std::shared_ptr<fleet_server>> runs_;
+    bool run_counted_{false};
     progress progress_{progress::nothing_ran};
     std::vector<server_name> tried_;
 
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -44,7 +44,7 @@
         on_not_run(metadata);
         return;
     }
-    ++runs_;
+    count_run();
     progress_ = progress::may_have_run;
     head_ = head;
     record_model_latency(first_byte_);
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace agatespar {
 
@@ -124,6 +125,7 @@
     tried_.push_back(server_->record.name);
     attempt_started_at_ = owner_.loop_.time().now();
     rollout_result_recorded_ = false;
+    run_counted_ = false;
     events_before_attempt_ = events_.completed();
     pace_ = {};
     sent_to_cold_server_ = server_->cold_until > attempt_started_at_;
@@ -199,6 +201,13 @@
     server_->unread_tokens -= std::exchange(unread_tokens_, 0);
 }
 
+void transparent_request::count_run()
+{
+    if (!std::exchange(run_counted_, true)) {
+        runs_.push_back(server_);
+    }
+}
+
 void transparent_request::on_failed(const send_failure& failed)
 {
     note_failure(*server_, owner_.loop_.time().now());
@@ -210,9 +219,7 @@
         progress_ = progress::may_have_run;
         record_rollout_result(false);
         // It is unknown whether the server executed the request; counted as a run, so that the limit on runs holds.
-        if (head_.status == 0) {
-            ++runs_;
-        }
+        count_run();
     }
     const bool sent = failed.state == send_state::sent;
     if (!sent && sends_ < max_sends) {
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -108,24 +108,22 @@
 void transparent_request::abandon_server(bool is_up)
 {
     const steady_time now = owner_.loop_.time().now();
-    // If the server is up but has not answered, the attempt counts as a run that may have begun.
-    const bool begun = head_.status != 0;
-    const int runs = is_up ? runs_ + (begun ? 0 : 1) : runs_ - (begun ? 1 : 0);
-    if (runs >= route_->max_runs || sends_ >= max_sends) {
-        schedule_silence_check();
-        return;
-    }
-    const progress before = progress_;
-    const int runs_before = std::exchange(runs_, runs);
+    const progress progress_before = progress_;
+    const bool counted_before = run_counted_;
+    // A server that is silent for a while goes on with what it was sent.
+    count_run();
     progress_ = progress::may_have_run;
     const auto server = server_;
-    if (is_up && begun) {
+    if (is_up && head_.status != 0 && retry_permitted()) {
         // A stalled stream. A server that is down or cut off says nothing about its version.
         record_rollout_result(false);
     }
     if (!try_retry(retry_reason::failure, "the server was silent")) {
-        progress_ = before;
-        runs_ = runs_before;
+        progress_ = progress_before;
+        if (!counted_before) {
+            runs_.pop_back();
+            run_counted_ = false;
+        }
         schedule_silence_check();
         return;
     }
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -339,6 +339,53 @@
             self.fleet.processes["calls-1"].resume()
             self.fleet.processes["talk-1"].resume()
 
+    # Guards against counting servers that are silent for a moment as ended: a stream then runs on more servers than its
+    # route's `attempts`.
+    def test_a_stream_runs_on_no_more_servers_than_its_route_permits_while_all_servers_pause(self):
+        for number in range(3, 7):
+            self.start_server("talk", f"talk-{number}")
+        # Answered requests, so that the retry budget doesn't limit the stream.
+        for _ in range(25):
+            self.assertEqual(self.fetch("brief")[1], 200)
+        self.set_service_faults("talk", pace_ms=100)
+        identity, connection = self.send("brief")
+        self.addCleanup(connection.close)
+        response = connection.getresponse()
+        response.readline()
+        talk = [process for name, process in self.fleet.processes.items() if name.startswith("talk-")]
+        for process in talk:
+            process.pause()
+        time.sleep(2.3)
+        for process in talk:
+            process.resume()
+        try:
+            response.read()
+        except (http.client.HTTPException, OSError):
+            pass
+        # Servers read the requests that arrived while they were paused.
+        time.sleep(0.5)
+        self.assertLessEqual(self.count_runs(identity), ROUTES["brief"]["attempts"])
+
+    # Guards against streams that are given up because servers that have ended still count towards `attempts`.
+    def test_a_stream_is_resumed_beyond_the_limit_when_its_silent_servers_have_lost_their_entries(self):
+        for number in range(3, 7):
+            self.start_server("talk", f"talk-{number}")
+        for _ in range(25):
+            self.assertEqual(self.fetch("brief")[1], 200)
+        self.set_service_faults("talk", pace_ms=100)
+        _, connection = self.send("brief")
+        self.addCleanup(connection.close)
+        response = connection.getresponse()
+        first_line = response.readline()
+        for number in range(1, 7):
+            self.fleet.processes[f"talk-{number}"].pause()
+        # The third server is silent, too, when the entries lapse.
+        time.sleep(2.2)
+        self.start_server("talk", "talk-7")
+        for number in range(1, 7):
+            self.put_record("keyed.servers", f"talk-{number}", None)
+        self.assertEqual((first_line + response.read()).decode(), self.expected_events("small"))
+
     def test_a_request_ends_at_its_deadline(self):
         self.set_service_faults("calls", late_ms=60000)
         identity, status, _, _ = self.fetch("unsafe", headers={"X-Deadline-Ms": "300"})
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -312,7 +312,57 @@
     directory.set(record, time.now());
     CHECK(directory.all().begin()->second != before);
     CHECK(directory.all().begin()->second->in_flight == 0);
-    CHECK(before->was_removed);
+    CHECK(before->presence == directory_presence::replaced);
+}
+
+// Guards against runs that are taken off the count because a server is silent: requests then run on more servers than
+// their route permits.
+SCENARIO("a silent server's run counts until the server is known to have ended")
+{
+    manual_clock time;
+    server_directory directory;
+    for (const char* name : {"a", "b", "c"}) {
+        auto record = make_record(name);
+        record.started_unix_ms = 1;
+        directory.set(record, time.now());
+    }
+    std::vector<std::shared_ptr<fleet_server>> runs;
+    for (const auto& [name, server] : directory.all()) {
+        runs.push_back(server);
+    }
+    time.advance(1s);
+    for (const auto& server : runs) {
+        server->last_received_at = time.now();
+    }
+    time.advance(500ms);
+    runs[0]->probe_failed_at = time.now();
+    runs[1]->probe_failed_at = time.now();
+    CHECK(count_runs(runs) == 3);
+
+    SECTION("the store gives it up, and it is silent for this VM too")
+    {
+        directory.remove(server_name{"a"}, time.now());
+        CHECK(count_runs(runs) == 2);
+    }
+    SECTION("its entry is gone, but it has answered since")
+    {
+        directory.remove(server_name{"a"}, time.now());
+        time.advance(100ms);
+        runs[0]->last_received_at = time.now();
+        CHECK(count_runs(runs) == 3);
+    }
+    SECTION("a server that this VM has not found silent leaves without saying so")
+    {
+        directory.remove(server_name{"c"}, time.now());
+        CHECK(count_runs(runs) == 3);
+    }
+    SECTION("it has started again")
+    {
+        auto record = make_record("b");
+        record.started_unix_ms = 2;
+        directory.set(record, time.now());
+        CHECK(count_runs(runs) == 2);
+    }
 }
 
 SCENARIO("a server's load is its last report, corrected by this VM's requests since then")
