Refuse requests with a part of a prompt that crashes servers

Cause: nothing attributed a crash to what the server ran. Our own retry took the request to the next server, the product's crash guard knew whole requests only and was not used by this entry, and VMs told each other nothing. The class is a failure that follows the request, taken for one of the server.

Change: backend/crash_guard counts strikes against whole requests and against parts of their prompts, and serves both entries. A part is guilty after two different requests, one after the other, unless one with it has been answered; parts that all of these have in common are guilty together, so that sound requests with one of them go on. A crash is a connection that ends before the first event with a probe that is refused right after; silence proves nothing. VMs exchange verdicts by one record each in the evidence topic.

Ruled out: convicting each part by itself (refuses sound requests that share the account's part), counting a caller's attempt twice (refuses sound requests that lose two servers in a row).

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -2,6 +2,7 @@
 // and forwards requests to backend servers.
 #pragma once
 
+#include <agatespar/backend/crash_guard.h>
 #include <agatespar/gateway/fleet_state.h>
 #include <agatespar/gateway/model_pressure.h>
 #include <agatespar/gateway/protocol.h>
@@ -109,6 +110,13 @@
     void write_reports();
     void write_evidence_rows();
     void end_when_idle(steady_time until);
+    /// Records that a server crashed before it had sent anything of its answer to a request, and tells the other VMs.
+    void note_crash(const crashed_attempt& attempt, const fleet_server& server, const request_metadata& request);
+    /// Records that a server has begun to answer a request.
+    void note_answer_begun(const crash_suspects& request);
+    void apply_crash_record(const keyed_record& record);
+    /// Adds verdicts that this VM has changed to its record in the store.
+    void publish_verdicts(const std::vector<gossip_item>& items);
     service_retry_budget& budget_of(const service_name& service);
     /// @return the number of VMs that fleet-wide limits are divided among.
     double assumed_vms() const;
@@ -125,6 +133,9 @@
     metrics_registry metrics_;
     fleet_state fleet_;
     zone_reachability zones_;
+    crash_guard crashes_;
+    /// The verdicts that this VM changed last, the newest at the end.
+    std::vector<gossip_item> own_verdicts_;
     std::unique_ptr<topic_follower> orders_;
     std::unique_ptr<topic_follower> servers_;
     std::unique_ptr<topic_follower> reports_;
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -46,6 +46,8 @@
     steady_time last_received_at;
     /// When a health probe of the server last failed or timed out.
     steady_time probe_failed_at;
+    /// When this VM last found that the server had crashed: a connection had ended, and new ones were refused.
+    steady_time crashed_at;
     /// Consecutive failures that are attributed to the server itself.
     std::uint32_t failures{0};
     /// Until this time the server is chosen only if no other server is available.
--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -25,6 +25,8 @@
 struct send_failure {
     send_state state{send_state::not_sent};
     std::string reason;
+    /// The connection was refused, closed or reset; false if the call timed out or the answer was not valid.
+    bool connection_ended{false};
 };
 
 /// Functions that report the progress of a call. Either `done` or `failed` is the last one called, unless the call is
@@ -68,7 +70,7 @@
     void start_reading();
     void take_head(http_answer_head head);
     void finish();
-    void fail(const std::string& reason);
+    void fail(const std::string& reason, bool connection_ended = false);
     void stop_timer();
 
     connection_pool* pool_;
--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -38,7 +38,8 @@
 class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
 public:
     /// Starts to open a connection. @param address "ip:port" of IPv4. @return the stream, or invalid_argument or
-    /// unavailable if no attempt could be started; a refused attempt is reported by `ended`.
+    /// unavailable if no attempt could be started, or not_found if it was refused at once; one that is refused later is
+    /// reported by `ended`.
     static outcome<std::shared_ptr<tcp_stream>> connect(event_loop& loop, const std::string& address,
                                                         tcp_callbacks callbacks);
     /// Creates a stream for an accepted connection. @param descriptor the stream takes ownership of it.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -1,6 +1,7 @@
 // Connects the topics of the store, the listeners and the handling of requests.
 #include "transparent_request.h"
 
+#include <agatespar/gateway/crash_record.h>
 #include <agatespar/gateway/evidence_record.h>
 #include <agatespar/gateway/gateway.h>
 #include <agatespar/gateway/store_traffic.h>
@@ -118,8 +119,13 @@
     follower_settings evidence;
     evidence.topic = fleet_topic::evidence;
     evidence.poll_interval = settings_.evidence_poll_interval;
-    evidence_ = make_follower(
-        evidence, [this](const keyed_record& record) { fleet_.apply_evidence_record(record, loop_.time().now()); });
+    evidence_ = make_follower(evidence, [this](const keyed_record& record) {
+        if (is_crash_record(record)) {
+            apply_crash_record(record);
+            return;
+        }
+        fleet_.apply_evidence_record(record, loop_.time().now());
+    });
     follower_settings vms;
     vms.topic = fleet_topic::vms;
     vms.poll_interval = settings_.evidence_poll_interval;
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -157,13 +157,15 @@
     }
 }
 
-void transparent_request::answer_error(int status, const char* reason)
+void transparent_request::answer_error(int status, const char* reason,
+                                       std::optional<std::chrono::milliseconds> retry_after)
 {
     http_answer_head head = local_answer_head(status);
     if (status == 503) {
         std::uniform_int_distribution<long> any{min_retry_after.count(), max_retry_after.count()};
+        const auto delay = retry_after ? retry_after->count() : any(owner_.random_);
         std::array<char, 16> seconds{};
-        std::snprintf(seconds.data(), seconds.size(), "%.3f", static_cast<double>(any(owner_.random_)) / 1000);
+        std::snprintf(seconds.data(), seconds.size(), "%.3f", static_cast<double>(delay) / 1000);
         head.headers.push_back({"Retry-After", seconds.data()});
     }
     exchange_->answer(head, {});
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -1,6 +1,7 @@
 // Handles one transparent request: validates it, sends attempts to backend servers, and returns exactly one answer.
 #pragma once
 
+#include <agatespar/backend/crash_guard.h>
 #include <agatespar/gateway/event_pace.h>
 #include <agatespar/gateway/event_splitter.h>
 #include <agatespar/gateway/gateway.h>
@@ -21,6 +22,10 @@
 /// No attempt is started with less time than this left before the deadline, as no server answers faster.
 inline constexpr std::chrono::milliseconds min_attempt_time{10};
 
+/// A server that is up answers a probe within some milliseconds; the retransmission of a lost packet takes longer than
+/// this.
+inline constexpr std::chrono::milliseconds probe_timeout{150};
+
 class transparent_request : public std::enable_shared_from_this<transparent_request> {
 public:
     transparent_request(gateway& owner, std::shared_ptr<server_exchange> exchange);
@@ -53,6 +58,8 @@
     void record_progress();
     void on_done();
     void on_failed(const send_failure& failure);
+    /// Retries after a failed attempt, or ends the request. @param sent the request may have reached the server.
+    void retry_after_failure(bool sent);
     void on_not_run(const answer_metadata& metadata);
     void on_deadline();
     waiting_request describe_waiting() const;
@@ -67,7 +74,25 @@
     /// keeps waiting otherwise.
     /// @param is_up the server answers probes; its silence says something about its version then.
     void abandon_server(bool is_up);
+    /// Starts a health probe of the server. @param callbacks called besides noting what the answer says.
+    outcome<void> start_probe(std::function<void()> answered, std::function<void(const send_failure&)> failed);
     void on_client_disconnected();
+
+    /// @return what may be the cause if a server crashes while it runs the request.
+    const crash_suspects& suspects();
+    /// @return whether the attempt ended as if its server had crashed before it began to answer.
+    bool is_possible_crash(const send_failure& failure) const;
+    /// Finds out whether the attempt's server has crashed, records it, and then retries the request or ends it.
+    void confirm_crash();
+    void record_crash();
+    /// Refuses a request that crashes its servers, and delays one while that is being settled.
+    /// @return whether it was refused or delayed, so that it must not be sent now.
+    bool contain_crashes();
+    /// Withdraws a request from its server if it has become known that such requests crash their servers.
+    bool refuse_if_guilty();
+    /// @param until when the verdict ends, if it is that of all requests like this one.
+    void refuse_crashing_request(std::optional<steady_time> until);
+    void note_answer_begun();
     /// Records the time to the first event of the largest model, or how long the request has waited for it.
     void record_model_latency(duration first_event);
     /// @return whether the answer's confidence is too low and a larger model can still answer in time.
@@ -88,7 +113,9 @@
     bool retry_permitted() const;
     void deliver_buffered_answer();
     /// Answers with an error of the router's own and ends the request.
-    void answer_error(int status, const char* reason);
+    /// @param retry_after with status 503, when the client may come again; without it, soon.
+    void answer_error(int status, const char* reason,
+                      std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
     /// Closes the client's connection within the answer, so that the client sees that the answer is incomplete.
     void abort_answer(const char* reason);
     void record_attempt(const fleet_server& server, std::size_t candidates);
@@ -128,6 +155,9 @@
     bool run_counted_{false};
     progress progress_{progress::nothing_ran};
     std::vector<server_name> tried_;
+    std::optional<crash_suspects> suspects_;
+    /// Servers that crashed before they had begun to answer the request.
+    int crashes_{0};
 
     std::shared_ptr<fleet_server> server_;
     std::shared_ptr<client_call> call_;
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -122,6 +122,9 @@
     const std::size_t completed_before = events_.completed();
     const std::string_view events = events_.append_bytes(bytes);
     if (!events.empty()) {
+        if (completed_before == 0) {
+            note_answer_begun();
+        }
         // Only complete events are progress; a stream that delivers single bytes counts as stalled.
         record_progress();
         if (const std::size_t count = events_.completed() - completed_before; count > 0) {
@@ -152,6 +155,7 @@
 {
     record_rollout_result(!is_server_failure(head_.status));
     if (!is_streaming_) {
+        note_answer_begun();
         deliver_buffered_answer();
         return;
     }
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -36,7 +36,10 @@
     }
     // The last part of the prompt is unique to the request; the part before it ends the longest prefix that other
     // requests may share.
-    const bool prefer_prompt_affinity = route_->has_prompts && metadata_.prompt.size() > 1;
+    const bool is_clear =
+        owner_.crashes_.size() == 0 || owner_.crashes_.verdict(suspects(), now) == crash_verdict::clear;
+    // The crash of a server with little load harms few other requests.
+    const bool prefer_prompt_affinity = route_->has_prompts && metadata_.prompt.size() > 1 && is_clear;
     const std::uint64_t prompt_key =
         prefer_prompt_affinity ? stable_hash(metadata_.prompt[metadata_.prompt.size() - 2].id.value()) : 0;
     std::vector<server_option> options;
@@ -108,6 +111,9 @@
         on_deadline();
         return;
     }
+    if (contain_crashes()) {
+        return;
+    }
     server_ = pick_server();
     if (!server_) {
         if (answer_started_) {
@@ -221,7 +227,15 @@
         // It is unknown whether the server executed the request; counted as a run, so that the limit on runs holds.
         count_run();
     }
-    const bool sent = failed.state == send_state::sent;
+    if (is_possible_crash(failed)) {
+        confirm_crash();
+        return;
+    }
+    retry_after_failure(failed.state == send_state::sent);
+}
+
+void transparent_request::retry_after_failure(bool sent)
+{
     if (!sent && sends_ < max_sends) {
         // No server has received the request, so the next attempt does not count against the retry budget.
         end_attempt("no connection");
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -1,13 +1,12 @@
 // Detects a server that has stopped sending, probes whether it is up, and retries the request on another server.
 #include "transparent_request.h"
 
+#include <agatespar/telemetry/log.h>
+
 #include <utility>
 
 namespace agatespar {
 
-// A server that is up answers a probe within some milliseconds; the retransmission of a lost packet takes longer than
-// this.
-static constexpr std::chrono::milliseconds probe_timeout{150};
 // For this long after an unanswered probe, other requests at the same server rely on its result instead of probing.
 static constexpr std::chrono::milliseconds probe_failure_lifetime{500};
 
@@ -43,6 +42,9 @@
     if (ended_ || !call_) {
         return;
     }
+    if (refuse_if_guilty()) {
+        return;
+    }
     switch (evaluate_silence(describe_waiting(), now)) {
     case silence_action::wait:
         schedule_silence_check();
@@ -65,6 +67,29 @@
         abandon_server(false);
         return;
     }
+    if (const auto started = start_probe([] {}, [](const send_failure&) {}); !started) {
+        log_event(log_severity::debug, "probe_not_started", {{"reason", started.error().message}});
+    }
+    silence_timer_ = owner_.loop_.schedule(probe_timeout, [self, probe_sent_at] {
+        self->silence_timer_.reset();
+        self->probe_.reset();
+        if (self->ended_ || !self->call_) {
+            return;
+        }
+        if (self->server_->last_received_at >= probe_sent_at) {
+            ++self->answered_probes_;
+            self->schedule_silence_check();
+        }
+        else {
+            self->server_->probe_failed_at = self->owner_.loop_.time().now();
+            self->abandon_server(false);
+        }
+    });
+}
+
+outcome<void> transparent_request::start_probe(std::function<void()> answered,
+                                               std::function<void(const send_failure&)> failed)
+{
     client_request request;
     request.key = server_->record.name.value();
     request.address = server_->record.address;
@@ -74,35 +99,24 @@
     request.connect_timeout = probe_timeout;
     request.may_reuse = false;
     client_callbacks callbacks;
-    callbacks.head = [self](const http_answer_head& head) {
+    callbacks.head = [self = shared_from_this(), answered = std::move(answered)](const http_answer_head& head) {
         if (self->server_) {
             self->server_->last_received_at = self->owner_.loop_.time().now();
             if (self->owner_.protocol_.read_answer(head).leaving) {
                 self->owner_.fleet_.note_says_leaving(*self->server_, self->metadata_.id);
             }
         }
+        answered();
     };
     callbacks.body = [](std::string_view) {};
     callbacks.done = [] {};
-    callbacks.failed = [](const send_failure&) {};
-    if (auto started = owner_.pool_.start(request, std::move(callbacks))) {
-        probe_ = std::move(*started);
+    callbacks.failed = std::move(failed);
+    auto started = owner_.pool_.start(request, std::move(callbacks));
+    if (!started) {
+        return tl::make_unexpected(started.error());
     }
-    silence_timer_ = owner_.loop_.schedule(probe_timeout, [self, probe_sent_at] {
-        self->silence_timer_.reset();
-        self->probe_.reset();
-        if (self->ended_ || !self->call_) {
-            return;
-        }
-        if (self->server_->last_received_at >= probe_sent_at) {
-            ++self->answered_probes_;
-            self->schedule_silence_check();
-        }
-        else {
-            self->server_->probe_failed_at = self->owner_.loop_.time().now();
-            self->abandon_server(false);
-        }
-    });
+    probe_ = std::move(*started);
+    return {};
 }
 
 void transparent_request::abandon_server(bool is_up)
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -172,7 +172,7 @@
         finish();
         return;
     }
-    fail(how == stream_end::closed ? "the server closed the connection" : "the connection broke");
+    fail(how == stream_end::closed ? "the server closed the connection" : "the connection broke", true);
 }
 
 void client_call::finish()
@@ -193,10 +193,11 @@
     }
 }
 
-void client_call::fail(const std::string& reason)
+void client_call::fail(const std::string& reason, bool connection_ended)
 {
     stop_timer();
-    const send_failure failed{stream_ && stream_->has_sent() ? send_state::sent : send_state::not_sent, reason};
+    const send_failure failed{stream_ && stream_->has_sent() ? send_state::sent : send_state::not_sent, reason,
+                              connection_ended};
     if (stream_) {
         stream_->close();
         stream_.reset();
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -88,8 +88,9 @@
     const int result = ::connect(descriptor, reinterpret_cast<const sockaddr*>(&*target), sizeof *target);
     if (result != 0 && errno != EINPROGRESS) {
         const std::string reason = std::strerror(errno);
+        const error_code code = errno == ECONNREFUSED ? error_code::not_found : error_code::unavailable;
         ::close(descriptor);
-        return failure(error_code::unavailable, "cannot connect to " + address + ": " + reason);
+        return failure(code, "cannot connect to " + address + ": " + reason);
     }
     auto stream = std::make_shared<tcp_stream>(loop, descriptor, true);
     stream->set_callbacks(std::move(callbacks));
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -104,7 +104,8 @@
     std::vector<server_id> failed_servers_;
     /// Servers whose owners refused a permit since the last waiting interval.
     std::vector<server_id> refusing_servers_;
-    request_fingerprint fingerprint_;
+    /// Hash of the content, to which crashes are attributed.
+    crash_subject fingerprint_;
     /// Time by which the verdict on a crash has reached all VMs of the zone.
     steady_time verdict_propagated_at_;
     /// Number of routing decisions since the last waiting interval.
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -474,6 +474,74 @@
         self.assertTrue(server.runs)
 
 
+class WithCrashingRequests(GatewayCase):
+    """Some requests end the process of each server that begins to answer them."""
+
+    def setUp(self):
+        super().setUp()
+        for number in range(3, 9):
+            self.start_server("talk", f"talk-{number}")
+        for number in range(3, 7):
+            self.start_server("calls", f"calls-{number}")
+        self.second_entry = self.start_entry("vm-2", 3)
+
+    def crashed(self, service):
+        return [name for name, server in self.servers.items()
+                if server["backend"] == service and not self.fleet.processes[name].running()]
+
+    def fetch_prompt(self, *parts, entry=None):
+        """Sends a stream whose prompt has these shared parts and one of its own."""
+        own = f"f{self.sent:07x}"
+        prompt = ",".join(f"{part}:100" for part in (*parts, own))
+        return self.fetch("brief", entry=entry, headers={"X-Prompt-Prefix": prompt}, body=own)
+
+    # Guards against a part of a prompt that crashes one server after the other, in requests of which no two are alike.
+    def test_requests_with_a_prompt_part_that_crashes_servers_are_refused_on_all_vms_and_no_others(self):
+        self.set_service_faults("talk", crash_text="dead")
+        entries = [self.entry, self.second_entry]
+        for number in range(6):
+            self.assertEqual(self.fetch_prompt("aa", f"b{number}", entry=entries[number % 2])[1], 200)
+        refused = 0
+        for number in range(12):
+            identity, status, headers, text = self.fetch_prompt("aa", f"b{number % 6}", "dead",
+                                                                entry=entries[number % 2])
+            self.assertIsNone(text if status == 200 else None)
+            if status == 503:
+                refused += 1
+                self.assertEqual(self.count_runs_of_living(identity), 0)
+                self.assertGreater(float(headers["Retry-After"]), 60)
+            # Sound requests share the other parts.
+            _, status, _, text = self.fetch_prompt("aa", f"b{number % 6}", entry=entries[number % 2])
+            self.assertEqual((status, text), (200, self.expected_events("small")))
+            time.sleep(0.3)
+        self.assertLessEqual(len(self.crashed("talk")), 4)
+        self.assertGreaterEqual(refused, 6)
+
+    # Guards against a whole request that crashes one server after the other, sent again by its caller at any VM.
+    def test_a_request_that_crashes_servers_is_refused_on_all_vms_when_it_comes_again(self):
+        self.set_service_faults("calls", crash_text="dead")
+        entries = [self.entry, self.second_entry]
+        statuses = []
+        for number in range(8):
+            statuses.append(self.fetch("unsafe", body="a dead dove", entry=entries[number % 2])[1])
+            self.assertEqual(self.fetch("unsafe", body="two doves", entry=entries[number % 2])[1], 200)
+            time.sleep(0.5)
+        self.assertLessEqual(len(self.crashed("calls")), 3)
+        self.assertEqual(statuses[-4:], [503] * 4)
+
+    def count_runs_of_living(self, identity):
+        return sum(self.fleet.counts(name)["runs"].get(identity, 0) for name in self.servers
+                   if self.fleet.processes[name].running())
+
+    # Guards against taking a lost answer for a crash.
+    def test_a_request_whose_answers_are_lost_is_not_refused(self):
+        self.set_service_faults("calls", loses_answers=True)
+        for _ in range(4):
+            self.assertEqual(self.fetch("unsafe", body="two doves")[1], 502)
+        self.set_service_faults("calls", loses_answers=False)
+        self.assertEqual(self.fetch("unsafe", body="two doves")[1], 200)
+
+
 class WithChangingServers(GatewayCase):
     def test_a_draining_server_gets_no_new_requests(self):
         self.publish_server("calls-1", "draining")
--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -1,6 +1,7 @@
 // Stand-in of a backend server of the users' platform: plain answers, resumable streams of several models, and faults.
 #include "role.h"
 
+#include <cstdlib>
 #include <map>
 
 namespace agatespar::standin {
@@ -33,6 +34,9 @@
     std::chrono::milliseconds pace{10};
     /// Number of events in a stream.
     std::uint64_t events{6};
+    /// If not empty, the process ends as soon as it has begun to answer a request that has this text in its body or in
+    /// the list of its prompt's parts.
+    std::string crash_text;
     /// Additional bytes in each event.
     std::uint64_t padding{0};
 };
@@ -48,6 +52,7 @@
 private:
     void answer(const std::shared_ptr<exchange>& call);
     void stream(const std::shared_ptr<exchange>& call, std::uint64_t event);
+    bool crashes(const exchange& call) const;
     void send_without_end(const std::shared_ptr<exchange>& call);
 
     event_loop& loop_;
@@ -82,6 +87,14 @@
     loop_.schedule(faults_.late, [this, call] { answer(call); });
 }
 
+bool runner_role::crashes(const exchange& call) const
+{
+    const auto has_text = [this](const std::string& text) {
+        return text.find(faults_.crash_text) != std::string::npos;
+    };
+    return !faults_.crash_text.empty() && (has_text(call.body()) || has_text(call.header("X-Prompt-Prefix")));
+}
+
 void runner_role::answer(const std::shared_ptr<exchange>& call)
 {
     if (faults_.loses_answers) {
@@ -89,6 +102,13 @@
         return;
     }
     call->add_header("X-Runner-Seal", name_ + "." + call->header("X-Attempt-Id"));
+    if (crashes(*call)) {
+        if (!call->header("X-Model").empty()) {
+            call->begin_events();
+        }
+        loop_.schedule(faults_.pace, [] { std::_Exit(EXIT_FAILURE); });
+        return;
+    }
     if (faults_.fails) {
         call->refuse(500, "failed", "ran");
         return;
@@ -159,6 +179,7 @@
     read_field(faults, "confidence", faults_.confidence);
     read_field(faults, "pace_ms", faults_.pace);
     read_field(faults, "events", faults_.events);
+    read_field(faults, "crash_text", faults_.crash_text);
     read_field(faults, "padding", faults_.padding);
 }
 
