Ask a server again that takes a connection while its process ends

Callers saw: a request that crashes servers was not recognised, and crashed five of six servers instead of two or three.

Cause: a process that ends closes its sockets one after the other. A probe that connects in between is not refused but reset, which a server with too many connections does as well, so it proved nothing.

--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -84,6 +84,8 @@
     bool is_possible_crash(const send_failure& failure) const;
     /// Finds out whether the attempt's server has crashed, records it, and then retries the request or ends it.
     void confirm_crash();
+    void probe_crashed_server(int probes_left);
+    void on_crash_probe_failed(const send_failure& failure, int probes_left);
     void record_crash();
     /// Refuses a request that crashes its servers, and delays one while that is being settled.
     /// @return whether it was refused or delayed, so that it must not be sent now.
--- a/lib/gateway/transparent_request_crash.cpp
+++ b/lib/gateway/transparent_request_crash.cpp
@@ -10,6 +10,8 @@
 // For this long after a server was found to have crashed, its other requests rely on that. It is back after some
 // seconds.
 static constexpr std::chrono::milliseconds crash_lifetime{500};
+static constexpr std::chrono::milliseconds crash_probe_interval{20};
+static constexpr int max_crash_probes = 4;
 // A request with a suspected part is not sent again after this many crashes, as it would be the cause of the next one,
 // too.
 static constexpr int max_crashes_of_suspect = 2;
@@ -53,6 +55,11 @@
         record_crash();
         return;
     }
+    probe_crashed_server(max_crash_probes);
+}
+
+void transparent_request::probe_crashed_server(int probes_left)
+{
     const auto self = shared_from_this();
     const auto end_probe = [self] {
         self->cancel_timers({&self->silence_timer_});
@@ -63,16 +70,12 @@
             const auto probe = end_probe();
             self->retry_after_failure(true);
         },
-        [self, end_probe](const send_failure& failed) {
+        [self, end_probe, probes_left](const send_failure& failed) {
             const auto probe = end_probe();
-            // A time-out proves nothing: a server may be silent for a while.
-            if (failed.state == send_state::not_sent && failed.connection_ended) {
-                self->record_crash();
-                return;
-            }
-            self->retry_after_failure(true);
+            self->on_crash_probe_failed(failed, probes_left);
         });
     if (started) {
+        // A time-out proves nothing: a server may be silent for a while.
         silence_timer_ = owner_.loop_.schedule(probe_timeout, [self] {
             self->silence_timer_.reset();
             self->probe_.reset();
@@ -80,11 +83,30 @@
         });
         return;
     }
-    if (started.error().code == error_code::not_found) {
+    on_crash_probe_failed(
+        {send_state::not_sent, started.error().message, started.error().code == error_code::not_found}, probes_left);
+}
+
+void transparent_request::on_crash_probe_failed(const send_failure& failed, int probes_left)
+{
+    if (!failed.connection_ended) {
+        retry_after_failure(true);
+        return;
+    }
+    if (failed.state == send_state::not_sent) {
         record_crash();
         return;
     }
-    retry_after_failure(true);
+    // The connection was taken and then ended, as by a process that is ending, or by a server with too many
+    // connections.
+    if (probes_left <= 1) {
+        retry_after_failure(true);
+        return;
+    }
+    silence_timer_ = owner_.loop_.schedule(crash_probe_interval, [self = shared_from_this(), probes_left] {
+        self->silence_timer_.reset();
+        self->probe_crashed_server(probes_left - 1);
+    });
 }
 
 void transparent_request::record_crash()
