Do not end a stream as complete when an answer without framing has no event

Cause: the end of the connection ends a body that has neither a length nor chunks, and only a partial event was taken as a sign that the stream had been broken off. An answer without any event is none, whether it is the first or resumes a stream.

Also looked at, and held before: an error answer of the next server, with a length or without, ends the stream visibly and none of its text reaches the client (test_a_broken_stream_has_no_error_of_the_next_server_in_it).

--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -153,19 +153,19 @@
 
 void transparent_request::on_done()
 {
+    // The end of the connection is no proof of a complete stream if the answer has neither a length nor chunks.
+    const bool is_empty = events_.completed() == events_before_attempt_ && head_.close_delimited;
+    if (is_streaming_ && (events_.has_partial() || is_empty)) {
+        on_failed({send_state::sent,
+                   is_empty ? "the stream ended without an event" : "the stream ended within an event", true});
+        return;
+    }
     record_rollout_result(!is_server_failure(head_.status));
     if (!is_streaming_) {
         note_answer_begun();
         deliver_buffered_answer();
         return;
     }
-    if (events_.has_partial()) {
-        // The server closed the stream without an error but within an event, so the stream is incomplete.
-        if (!try_retry(retry_reason::failure, "the stream ended within an event")) {
-            abort_answer("the stream ended within an event");
-        }
-        return;
-    }
     exchange_->finish();
     finish(head_.status, "answered");
 }
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -403,6 +403,112 @@
         )
 
 
+class ScriptedServer:
+    """A server that answers each request with the bytes that a function returns for its headers, and then closes.
+
+    Without bytes it answers a question for its load, as servers do.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        self.runs = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection = self.listener.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection):
+        with connection, connection.makefile("rb") as reader:
+            if not reader.readline():
+                return
+            headers = http.client.parse_headers(reader)
+            reader.read(int(headers.get("Content-Length", 0)))
+            try:
+                if "X-Attempt-Id" not in headers:
+                    connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+                    return
+                self.runs.append(headers["X-Attempt-Id"])
+                connection.sendall(self.script(headers))
+            except OSError:
+                return
+
+
+class WithScriptedServers(GatewayCase):
+    """The servers of each service are replaced by faulty ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.scripts = 0
+
+    def use_script(self, script):
+        """Adds two scripted servers for each service in place of all others."""
+        for name in list(self.servers):
+            self.put_record("keyed.servers", name, None)
+            if name.startswith("odd-"):
+                del self.servers[name]
+        names = []
+        for service in ("calls", "talk"):
+            for _ in range(2):
+                server = ScriptedServer(script)
+                self.addCleanup(server.listener.close)
+                self.scripts += 1
+                names.append(f"odd-{self.scripts}")
+                self.servers[names[-1]] = {"backend": service, "address": server.address, "zone": "hall-a",
+                                           "version": "v1", "slots": 8, "cold_left_ms": 0}
+                self.publish_server(names[-1], "ready")
+        wait_until(lambda: set(names) <= {line["server"] for line in self.log_lines("vm-1", "server_ready")},
+                   "the scripted servers to be known")
+
+    def head(self, headers, status="200 OK", framing="", seal="X-Runner-Seal: s.1\r\n"):
+        return (f"HTTP/1.1 {status}\r\nX-Attempt-Id: {headers['X-Attempt-Id']}\r\n{seal}X-Confidence: 90\r\n"
+                f"Content-Type: text/event-stream\r\n{framing}\r\n").encode()
+
+    def fetch_raw(self, kind):
+        """Sends one request and returns all bytes that come until the connection ends, at most for some seconds."""
+        _, connection = self.send(kind, headers={"Connection": "close"})
+        connection.sock.settimeout(10)
+        received = b""
+        with connection.sock:
+            while bytes_read := connection.sock.recv(65536):
+                received += bytes_read
+        return received
+
+    def fetch_broken_stream(self, next_answer):
+        """Sends a stream that breaks off after two events; each server that resumes it gives the next answer."""
+
+        def script(headers):
+            if headers.get("Last-Event-Id"):
+                return next_answer(headers)
+            return self.head(headers) + b"id: 1\ndata: small 1\n\nid: 2\ndata: small 2\n\nid: 3\nda"
+
+        self.use_script(script)
+        received = self.fetch_raw("brief")
+        self.assertIn(b"small 2", received)
+        return received
+
+    # Guards against a stream that breaks off and then ends as complete, as the next server's answer has no event.
+    def test_a_broken_stream_does_not_end_as_complete_if_the_next_answer_ends_without_an_event(self):
+        received = self.fetch_broken_stream(self.head)
+        self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
+    # Guards against the text of an error in the middle of a stream.
+    def test_a_broken_stream_has_no_error_of_the_next_server_in_it(self):
+        for status, framing in (("500 Failed", "Content-Length: 12\r\n"), ("500 Failed", ""), ("404 None", "")):
+            with self.subTest(status=status, framing=framing):
+                received = self.fetch_broken_stream(
+                    lambda headers: self.head(headers, status, framing) + b"data: oops\n\n")
+                self.assertNotIn(b"oops", received)
+                self.assertEqual(received.count(b"HTTP/1.1"), 1)
+                self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
+
+
 class RepeatingServer:
     """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
 
