Hold reads of servers and of roll-outs for a bounded time

Cause: the read of the servers' topic is held by the store for up to 30 s until a record comes. The store did not answer it with the record of 15.006 s, only with the next one, at 18.02 s, while the other reader's read was answered at once. A VM that reads the store is told nothing by others. The same had been found on a slow store and was bounded for that case only.

Change: reads of orders and servers are held for a second, those of reports and evidence on roll-outs for three seconds.

Evidence: the new test fails with the former wait (4 of 4) and passes.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -36,9 +36,12 @@
     std::string metrics_path;
     /// Maximum time from the request to stop until the process ends.
     std::chrono::milliseconds shutdown_timeout{8000};
-    /// How long the store holds a long-poll read of the operators' orders. An answer each second lets VMs that receive
+    /// How long the store holds a long-poll read of a topic whose records have to be known within a bound. The store
+    /// may miss a record, and then holds the read until the next one. An answer each second also lets VMs that receive
     /// records through this one detect soon that it has lost contact with the store.
-    std::chrono::milliseconds order_poll_wait{1000};
+    std::chrono::milliseconds poll_wait{1000};
+    /// The same for reports and evidence on roll-outs, which may take a few seconds.
+    std::chrono::milliseconds rollout_poll_wait{3000};
     /// Time between reads of the servers' topic, whose records are written one at a time.
     std::chrono::milliseconds server_poll_interval{500};
     /// Time between reads of the VMs' evidence on roll-outs, so that one read returns the records of several VMs.
@@ -60,6 +63,9 @@
     rollout_settings rollouts;
 };
 
+/// @return how the gateway follows a topic.
+follower_settings make_follower_settings(fleet_topic topic, const gateway_settings& settings);
+
 class transparent_request;
 
 class gateway {
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -99,38 +99,53 @@
     return std::make_unique<topic_follower>(loop_, store_, settings, std::move(callbacks));
 }
 
+follower_settings make_follower_settings(fleet_topic topic, const gateway_settings& settings)
+{
+    follower_settings follower;
+    follower.topic = topic;
+    switch (topic) {
+    case fleet_topic::operator_orders:
+        follower.wait = settings.poll_wait;
+        break;
+    case fleet_topic::reports:
+        follower.wait = settings.rollout_poll_wait;
+        break;
+    case fleet_topic::servers:
+        follower.wait = settings.poll_wait;
+        follower.poll_interval = settings.server_poll_interval;
+        break;
+    case fleet_topic::evidence:
+        follower.wait = settings.rollout_poll_wait;
+        follower.poll_interval = settings.evidence_poll_interval;
+        break;
+    case fleet_topic::vms:
+        follower.poll_interval = settings.evidence_poll_interval;
+        follower.starts_empty = settings.first_start;
+        break;
+    }
+    return follower;
+}
+
 void gateway::make_followers(const peer_link_opener& open_link)
 {
-    follower_settings orders;
-    orders.topic = fleet_topic::operator_orders;
-    orders.wait = settings_.order_poll_wait;
-    orders_ = make_follower(orders, [this](const keyed_record& record) {
+    const auto follow = [this](fleet_topic topic, std::function<void(const keyed_record&)> changed) {
+        return make_follower(make_follower_settings(topic, settings_), std::move(changed));
+    };
+    orders_ = follow(fleet_topic::operator_orders, [this](const keyed_record& record) {
         fleet_.apply_operator_record(record, loop_.time().now());
         apply_limits();
     });
-    follower_settings servers;
-    servers.topic = fleet_topic::servers;
-    servers.poll_interval = settings_.server_poll_interval;
-    servers_ = make_follower(
-        servers, [this](const keyed_record& record) { fleet_.apply_server_record(record, loop_.time().now()); });
-    follower_settings reports;
-    reports.topic = fleet_topic::reports;
-    reports_ = make_follower(reports, [this](const keyed_record& record) { fleet_.apply_report_record(record); });
-    follower_settings evidence;
-    evidence.topic = fleet_topic::evidence;
-    evidence.poll_interval = settings_.evidence_poll_interval;
-    evidence_ = make_follower(evidence, [this](const keyed_record& record) {
+    servers_ = follow(fleet_topic::servers,
+                      [this](const keyed_record& record) { fleet_.apply_server_record(record, loop_.time().now()); });
+    reports_ = follow(fleet_topic::reports, [this](const keyed_record& record) { fleet_.apply_report_record(record); });
+    evidence_ = follow(fleet_topic::evidence, [this](const keyed_record& record) {
         if (is_crash_record(record)) {
             apply_crash_record(record);
             return;
         }
         fleet_.apply_evidence_record(record, loop_.time().now());
     });
-    follower_settings vms;
-    vms.topic = fleet_topic::vms;
-    vms.poll_interval = settings_.evidence_poll_interval;
-    vms.starts_empty = settings_.first_start;
-    vms_ = make_follower(vms, [this](const keyed_record& record) { relay_->apply_vm_record(record); });
+    vms_ = follow(fleet_topic::vms, [this](const keyed_record& record) { relay_->apply_vm_record(record); });
     relay_settings relay;
     relay.self = {settings_.vm_name, settings_.zone, settings_.peer_address, settings_.link_mbps, settings_.cpu_share};
     // The followers are passed in the order of fleet_topic.
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -1,5 +1,6 @@
 // Tests of topic_follower on a manual event loop: the store answers, fails, discards old records, or changes between
 // pages.
+#include <agatespar/gateway/gateway.h>
 #include <agatespar/gateway/topic_follower.h>
 #include <agatespar/kernel/manual_event_loop.h>
 
@@ -239,6 +240,27 @@
     }
 }
 
+// Guards against a server that gets requests after it has said that it leaves, as the read of its entry was not
+// answered.
+SCENARIO("a record that the store does not answer a held read with is known within the operators' bounds")
+{
+    // Two seconds for configurations and leaving servers, five for the roll-back of a bad version.
+    const auto [name, bound] =
+        GENERATE(std::pair{fleet_topic::operator_orders, 2s}, std::pair{fleet_topic::servers, 2s},
+                 std::pair{fleet_topic::reports, 5s}, std::pair{fleet_topic::evidence, 5s});
+    fake_topic topic;
+    topic.write("server", "ready");
+    change_recorder recorded;
+    topic_follower follower{topic.loop, topic.store, make_follower_settings(name, gateway_settings{}),
+                            recorded.callbacks()};
+    follower.set_reading(true);
+    topic.loop.advance(20s);
+    topic.skips_wakeups = true;
+    topic.write("server", "draining");
+    topic.loop.advance(bound - 100ms);
+    CHECK(recorded.values == strings{{"server", "draining"}});
+}
+
 SCENARIO("a follower starts on a topic whose old records were discarded and whose keys were all removed")
 {
     fake_topic topic;
