Take a success only with the server's mark

Cause: nothing looked for the server's mark, without which a success is not the server's answer. A head that is cut short was a failure before already, for each framing (test_an_answer_whose_head_is_cut_short_is_no_answer held on the code before and stays).

Evidence: test_a_success_without_the_mark_of_a_server_is_not_forwarded failed before (200 instead of 502) and passes now. The faulty server of test_a_refusal_of_another_request_is_skipped now marks its answer, as servers do.

--- a/include/agatespar/gateway/protocol.h
+++ b/include/agatespar/gateway/protocol.h
@@ -68,6 +68,8 @@
     bool not_run{false};
     /// The address now belongs to another server than the one the request was meant for.
     bool answered_by_other_server{false};
+    /// The answer bears the server's own mark. A success without it is not the server's.
+    bool is_marked{false};
     /// The server says that it is shutting down and must get no new requests.
     bool leaving{false};
     std::optional<reported_load> load;
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -44,6 +44,10 @@
         on_not_run(metadata);
         return;
     }
+    if (is_success(head.status) && !metadata.is_marked) {
+        on_failed({send_state::sent, "the answer is not the server's"});
+        return;
+    }
     count_run();
     progress_ = progress::may_have_run;
     head_ = head;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -498,6 +498,22 @@
         received = self.fetch_broken_stream(self.head)
         self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
 
+    # Guards against a success with an empty or short body, after a server stopped in the middle of its answer's head.
+    def test_an_answer_whose_head_is_cut_short_is_no_answer(self):
+        for framing in ("", "Content-Length: 6\r\n", "Transfer-Encoding: chunked\r\n"):
+            for kept in (20, 60, None):
+                with self.subTest(framing=framing, kept=kept):
+                    # All but the blank line at the end, or less.
+                    self.use_script(lambda headers: self.head(headers, framing=framing)[:-2][:kept])
+                    for kind in ("safe", "unsafe", "brief"):
+                        self.assertEqual(self.fetch(kind)[1], 502)
+
+    # Guards against a success that is not the server's own answer.
+    def test_a_success_without_the_mark_of_a_server_is_not_forwarded(self):
+        self.use_script(lambda headers: self.head(headers, framing="Content-Length: 6\r\n", seal="") + b"a: b\n\n")
+        for kind in ("safe", "unsafe", "brief"):
+            self.assertEqual(self.fetch(kind)[1], 502)
+
     # Guards against the text of an error in the middle of a stream.
     def test_a_broken_stream_has_no_error_of_the_next_server_in_it(self):
         for status, framing in (("500 Failed", "Content-Length: 12\r\n"), ("500 Failed", ""), ("404 None", "")):
@@ -539,7 +555,7 @@
                     connection.sendall(
                         f"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n{named}Content-Length: 0\r\n\r\n".encode())
                     time.sleep(0.02)
-                    connection.sendall(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {identity}\r\n"
+                    connection.sendall(f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {identity}\r\nX-Runner-Seal: s.1\r\n"
                                        "Content-Length: 3\r\n\r\nran".encode())
                 except OSError:
                     return
