Answer each request before the end of a planned stop

Callers saw (reported from similar systems): requests that came late in a planned stop were passed on and cut at its end without an answer, among them some that may not be repeated (LOST).

Cause: a stopping VM passed requests on with all the time that their clients gave them, and ended with what was open.

Change: while a VM stops, open requests end 0.2 s before the process does: with 504, or 503 if nothing was sent; streams are broken off. New ones are sent with what is left. One that must not be repeated, and whose time is longer than that, is refused at once with a true 503.

Evidence: test_each_request_gets_an_answer_before_the_end_of_a_planned_stop failed before (the late booking was cut, no status) and passes now, with cut_requests 0 in the line stopped.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -18,7 +18,9 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 namespace agatespar {
@@ -91,8 +93,9 @@
     /// for itself. Roll-outs in progress keep their settings.
     /// @return whether an address or the zone differs, which takes effect only after a restart.
     bool update_settings(const gateway_settings& changed);
-    /// Stops gracefully: completes open requests, up to the time limit, then calls on_stopped. New requests are
-    /// accepted until the platform has seen that this VM is no longer ready.
+    /// Stops gracefully: completes open requests, or answers them at the time limit, then calls on_stopped. New
+    /// requests are accepted until the platform has seen that this VM is no longer ready, except those that must not be
+    /// repeated and may take longer than the stop.
     void stop();
     std::string front_address() const { return front_->address(); }
     std::string readiness_address() const { return readiness_->address(); }
@@ -152,6 +155,10 @@
     std::map<service_name, model_pressure> pressures_;
     bool writing_report_{false};
     bool stopping_{false};
+    /// When the requests that are open during a stop are ended, so that their answers can still be sent.
+    std::optional<steady_time> requests_end_at_;
+    /// The requests that have not ended. Each is kept alive by its deadline's timer.
+    std::set<transparent_request*> open_requests_;
     std::optional<timer_id> tick_timer_;
     std::unique_ptr<http_listener> front_;
     std::unique_ptr<http_listener> readiness_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -19,6 +19,8 @@
 static constexpr std::chrono::milliseconds readiness_notice_delay{2500};
 // Time left at the end of the shutdown before the platform kills the process.
 static constexpr std::chrono::milliseconds shutdown_margin{400};
+// Time left before that for the answers of requests that are still open.
+static constexpr std::chrono::milliseconds last_answers_margin{200};
 // Interval at which a stopping VM checks for open requests.
 static constexpr std::chrono::milliseconds idle_check_interval{50};
 // Maximum size of the headers of readiness checks and of reads of the metrics: the platform sends short ones.
@@ -331,6 +333,10 @@
               {{"open_requests", static_cast<std::uint64_t>(front_->open_exchanges())}});
     front_->close_after_answers();
     const steady_time until = loop_.time().now() + settings_.shutdown_timeout - shutdown_margin;
+    requests_end_at_ = until - last_answers_margin;
+    for (transparent_request* request : open_requests_) {
+        request->limit_time(*requests_end_at_);
+    }
     loop_.schedule(std::min(readiness_notice_delay, settings_.shutdown_timeout / 2), [this, until] {
         front_->stop();
         end_when_idle(until);
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -40,12 +40,34 @@
     auto time = route_->timeout.count() > 0 ? route_->timeout : default_timeout;
     time = std::min(time, metadata_.client_timeout.value_or(time));
     deadline_ = exchange_->start_time() + time;
-    deadline_timer_ = owner_.loop_.schedule(time_left(), [self] {
+    if (owner_.requests_end_at_ && deadline_ > *owner_.requests_end_at_) {
+        if (!is_safe_to_retry(*route_)) {
+            answer_error(503, "this VM stops before the request's time is over");
+            return;
+        }
+        deadline_ = *owner_.requests_end_at_;
+    }
+    owner_.open_requests_.insert(this);
+    schedule_deadline();
+    owner_.budget_of(service_).count_request(owner_.loop_.time().now());
+    send_attempt();
+}
+
+void transparent_request::schedule_deadline()
+{
+    cancel_timers({&deadline_timer_});
+    deadline_timer_ = owner_.loop_.schedule(time_left(), [self = shared_from_this()] {
         self->deadline_timer_.reset();
         self->on_deadline();
     });
-    owner_.budget_of(service_).count_request(owner_.loop_.time().now());
-    send_attempt();
+}
+
+void transparent_request::limit_time(steady_time end)
+{
+    if (deadline_ > end) {
+        deadline_ = end;
+        schedule_deadline();
+    }
 }
 
 // Evaluates the request against the configuration that is in force.
@@ -191,6 +213,7 @@
 void transparent_request::finish(int status, const char* reason)
 {
     ended_ = true;
+    owner_.open_requests_.erase(this);
     cancel_timers({&deadline_timer_, &retry_timer_});
     end_attempt(reason);
     report_.id = metadata_.id;
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -34,6 +34,8 @@
     ~transparent_request();
 
     void start();
+    /// Ends the request at this time, if it would end later.
+    void limit_time(steady_time end);
 
 private:
     /// What is known for certain about all attempts so far: whether any server may have executed the request.
@@ -61,6 +63,7 @@
     /// Retries after a failed attempt, or ends the request. @param sent the request may have reached the server.
     void retry_after_failure(bool sent);
     void on_not_run(const answer_metadata& metadata);
+    void schedule_deadline();
     void on_deadline();
     waiting_request describe_waiting() const;
     /// Schedules the next check of whether the server has stopped sending.
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -27,6 +27,7 @@
         "sizes": ["small", "large"],
     },
 }
+ROUTES["booking"] = {**ROUTES["unsafe"], "timeout_ms": 20000}
 # With this goal, clients tolerate two seconds without an event, and a started stream counts as stalled after one.
 ROUTES["brief"] = {**ROUTES["stream"], "goal_ms": 500}
 
@@ -841,6 +842,32 @@
         self.assertEqual((status, text), (200, self.expected_events("small", last=150)))
         self.assertEqual(stop.wait(), 0)
 
+    # Guards against requests that come late in a planned stop and are cut at its end without an answer.
+    def test_each_request_gets_an_answer_before_the_end_of_a_planned_stop(self):
+        self.set_service_faults("calls", late_ms=60000)
+        self.set_service_faults("talk", events=100000)
+        time_left = {"X-Deadline-Ms": "20000"}
+        booking = BackgroundTask(lambda: self.fetch("booking", headers=time_left))
+        wait_until(lambda: any(self.fleet.counts(name)["runs"] for name in ("calls-1", "calls-2")), "the booking to run")
+        stop = BackgroundTask(lambda: self.entry["process"].stop())
+        wait_until(lambda: self.http_get(self.entry["readiness"], "/v1/readyz").status == 503, "the VM not to be ready")
+        time.sleep(1)
+        # It may not be repeated, and what is left of the stop is too short for the time that it may take.
+        began = time.monotonic()
+        late, status, headers, _ = self.fetch("booking", headers=time_left)
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - began, 1)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(self.count_runs(late), 0)
+        # Those that may be repeated are sent with what is left.
+        late, _, _, text = self.fetch("stream", headers=time_left)
+        self.assertIsNone(text)
+        self.assertGreaterEqual(self.count_runs(late), 1)
+        _, status, _, _ = booking.wait()
+        self.assertEqual(status, 504)
+        self.assertEqual(stop.wait(), 0)
+        self.assertEqual(self.log_lines("vm-1", "stopped")[-1]["cut_requests"], 0)
+
     def test_the_request_of_a_disconnected_client_is_cancelled(self):
         self.set_service_faults("talk", events=100000)
         host, port = self.entry["front"].split(":")
