--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -261,6 +261,29 @@
     CHECK(recorded.values == strings{{"server", "draining"}});
 }
 
+// Guards against orders and leaving servers that come after a silence of the store and are known too late.
+SCENARIO("records that are written after a silence of the store are known within the operators' bounds")
+{
+    const fleet_topic name = GENERATE(fleet_topic::operator_orders, fleet_topic::servers);
+    const duration silence = GENERATE(800ms, 3300ms, 9s);
+    fake_topic topic;
+    topic.write("config", "1");
+    change_recorder recorded;
+    topic_follower follower{topic.loop, topic.store, make_follower_settings(name, gateway_settings{}),
+                            recorded.callbacks()};
+    follower.set_reading(true);
+    topic.loop.advance(6s);
+    topic.down = true;
+    topic.loop.advance(silence);
+    topic.down = false;
+    for (const char* version : {"2", "3"}) {
+        topic.loop.advance(3700ms);
+        topic.write("config", version);
+        topic.loop.advance(1900ms);
+        CHECK(recorded.values == strings{{"config", version}});
+    }
+}
+
 SCENARIO("a follower starts on a topic whose old records were discarded and whose keys were all removed")
 {
     fake_topic topic;
