Count a crash once against a prompt part that has been answered

Callers saw nothing yet; found by reading. A part that a VM has seen answered becomes a suspect only after three crashes, but each request that one crash took with it was counted: three of them on one server were enough.

Evidence: the new test fails without the change and passes with it.

--- a/include/agatespar/backend/crash_guard.h
+++ b/include/agatespar/backend/crash_guard.h
@@ -133,8 +133,12 @@
         steady_time struck_since;
         steady_time last_struck_at;
     };
-    /// Prompt parts of answered requests, with the number of crashes since the last answer.
-    using answered_parts = std::unordered_map<crash_subject, std::uint8_t>;
+    /// Crashes of requests with a part of which answers are known, since the last answer.
+    struct unanswered_crashes {
+        std::uint8_t count{0};
+        std::uint64_t last_crash{0};
+    };
+    using answered_parts = std::unordered_map<crash_subject, unanswered_crashes>;
 
     crash_verdict verdict_of(const entry& held, steady_time now) const;
     /// @return the verdict on a prompt part within a prompt with these parts.
@@ -149,7 +153,7 @@
                       const crashed_attempt& attempt, steady_time now);
     std::optional<gossip_item> clear(crash_subject subject, steady_time now, wall_time wall_now);
     /// Counts a crash against a part. @return whether the part's answers outweigh it.
-    bool is_cleared_by_answers(crash_subject part);
+    bool is_cleared_by_answers(crash_subject part, std::uint64_t crash);
     void remember_answered(crash_subject part);
     gossip_item make_item(crash_subject subject, const entry& held, wall_time wall_now) const;
 
--- a/lib/backend/crash_guard.cpp
+++ b/lib/backend/crash_guard.cpp
@@ -197,7 +197,7 @@
         items.push_back(make_item(suspects.request, entries_.at(suspects.request), wall_now));
     }
     std::vector<crash_subject> suspected = suspects.parts;
-    std::erase_if(suspected, [this](crash_subject part) { return is_cleared_by_answers(part); });
+    std::erase_if(suspected, [&](crash_subject part) { return is_cleared_by_answers(part, attempt.crash); });
     for (const crash_subject part : suspected) {
         if (add_evidence(part, suspects.request.value(), suspected, attempt, now)) {
             items.push_back(make_item(part, entries_.at(part), wall_now));
@@ -241,20 +241,25 @@
     return make_item(subject, *held, wall_now);
 }
 
-bool crash_guard::is_cleared_by_answers(crash_subject part)
+bool crash_guard::is_cleared_by_answers(crash_subject part, std::uint64_t crash)
 {
     for (answered_parts* parts : {&answered_, &answered_before_}) {
         const auto found = parts->find(part);
-        if (found != parts->end()) {
-            return ++found->second < settings_.crashes_despite_answer;
+        if (found == parts->end()) {
+            continue;
         }
+        // Several requests with the part may lose the same server.
+        if (std::exchange(found->second.last_crash, crash) != crash) {
+            ++found->second.count;
+        }
+        return found->second.count < settings_.crashes_despite_answer;
     }
     return false;
 }
 
 void crash_guard::remember_answered(crash_subject part)
 {
-    answered_[part] = 0;
+    answered_[part] = {};
     if (answered_.size() * 2 >= settings_.max_answered_parts) {
         answered_before_ = std::exchange(answered_, {});
     }
--- a/unittests/backend/crash_guard_test.cpp
+++ b/unittests/backend/crash_guard_test.cpp
@@ -349,6 +349,21 @@
     CHECK(crashes == 4);
 }
 
+// Guards against counting one crash once for each request that it took with it.
+SCENARIO("requests that lose the same server count as one crash against a part that has been answered")
+{
+    crash_guard guard;
+    const steady_time start{1h};
+    guard.on_answer({crash_subject{1}, {common_part}}, start, wall_time{1h});
+    crashed_attempt lost = make_crash(4000, {common_part}, start);
+    for (std::uint64_t request = 4000; request < 4010; ++request) {
+        lost.suspects.request = crash_subject{request};
+        lost.client_attempt = request;
+        guard.on_crash(lost, start + 1s, wall_time{1h});
+    }
+    CHECK(guard.verdict(common_part, start + 1s) == crash_verdict::clear);
+}
+
 // Guards against refusing sound requests that share a part with all requests that crash servers.
 SCENARIO("parts that only occur together in requests that crash servers are refused only together")
 {
