Share the accept loop of the faulty servers in the gateway's tests

ScriptedServer had copied RepeatingServer's listener and threads. Both now derive from FaultyServer and define serve() only.

--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -404,14 +404,10 @@
         )
 
 
-class ScriptedServer:
-    """A server that answers each request with the bytes that a function returns for its headers, and then closes.
-
-    Without bytes it answers a question for its load, as servers do.
-    """
+class FaultyServer:
+    """Listens, and serves each connection on a thread of its own. Derived classes define serve()."""
 
-    def __init__(self, script):
-        self.script = script
+    def __init__(self):
         self.runs = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -425,6 +421,17 @@
                 return
             threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
 
+
+class ScriptedServer(FaultyServer):
+    """A server that answers each request with the bytes that a function returns for its headers, and then closes.
+
+    A question for its load, which has no request id, is answered as servers do.
+    """
+
+    def __init__(self, script):
+        self.script = script
+        super().__init__()
+
     def serve(self, connection):
         with connection, connection.makefile("rb") as reader:
             if not reader.readline():
@@ -526,23 +533,12 @@
                 self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
 
 
-class RepeatingServer:
+class RepeatingServer(FaultyServer):
     """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
 
     def __init__(self, refused_id):
         self.refused_id = refused_id
-        self.runs = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection = self.listener.accept()[0]
-            except OSError:
-                return
-            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+        super().__init__()
 
     def serve(self, connection):
         with connection, connection.makefile("rb") as reader:
