Hash a request for crash verdicts only where a verdict can change

Each answered request without a shared prompt part had its whole body hashed, though nothing is recorded for it while no verdict is held. Behaviour stays: the guard would have returned without a change. test/gateway_test.py WithCrashingRequests and WithHealthyServers pass.

--- a/lib/gateway/transparent_request_crash.cpp
+++ b/lib/gateway/transparent_request_crash.cpp
@@ -183,7 +183,10 @@
 
 void transparent_request::note_answer_begun()
 {
-    owner_.note_answer_begun(suspects());
+    const bool shares_parts = metadata_.prompt.size() > 1;
+    if (shares_parts || owner_.crashes_.size() > 0) {
+        owner_.note_answer_begun(suspects());
+    }
 }
 
 } // namespace agatespar
