--- a/review/common/lab.py
+++ b/review/common/lab.py
@@ -8,7 +8,6 @@
 import http.client
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -201,14 +200,14 @@
     """A small deployment: the store, runners and entry processes. Ends all of it when left."""
 
     def __init__(self, folder):
+        if not os.path.exists(os.path.join(REPOSITORY, PROGRAM[0])):
+            raise CannotRun(PROGRAM[0] + " is not built")
         self.folder = folder
         self.temporary = tempfile.mkdtemp(prefix="agatespar-review-")
         self.lines = []
         self.processes = {}
         self.entries = {}
         self.began = time.monotonic()
-        if not os.path.exists(os.path.join(REPOSITORY, PROGRAM[0])):
-            raise CannotRun(PROGRAM[0] + " is not built")
         self.store = Store()
 
     def __enter__(self):
@@ -354,8 +353,8 @@
             for line in broken:
                 lab.note("BROKEN: " + line)
             lab.note("result: " + ("the rule was broken" if broken else "the rule held"))
-    except CannotRun as problem:
-        print("could not run: %s" % problem)
+    except Exception as problem:  # Any error of the case itself says nothing about the rule.
+        print("could not run: %s: %s" % (type(problem).__name__, problem))
         return EXIT_NOT_RUN
     print("broken: %d" % len(broken) if broken else "held")
     for line in broken[:5]:
