Refuse requests whose transfer encoding does not delimit the body

Cause: the parser knows one encoding, chunked as the last one of a field, and ignores all others; a request without a length then counts as one without a body. The field is dropped before the request is passed on, so the server can't notice.

Change: the reader checks the encoding when the head is complete. A request needs exactly one field with the one encoding chunked, on HTTP/1.1 and without a length; an answer may also name identity, which ends with its connection. Everything else is malformed: 400 and the end of the connection for a client, a failure for a server.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -11,6 +11,24 @@
 
 namespace beast = boost::beast;
 
+// HTTP/1.1, in the form in which the parser reports versions.
+static constexpr int http_1_1 = 11;
+
+/// @return whether a message's transfer encoding, if it has one, tells where its body ends, and the body needs no
+/// decoding other than that of its chunks (RFC 9112, sections 6.1 and 6.3). The parser ignores any other encoding.
+/// @param may_end_at_close whether the end of the connection can delimit the body, as in answers only.
+static bool has_sound_transfer_encoding(const http_headers& headers, int version, bool may_end_at_close)
+{
+    const auto encoding = find_header(headers, "transfer-encoding");
+    if (!encoding) {
+        return true;
+    }
+    if (version < http_1_1 || is_repeated(headers, "transfer-encoding") || find_header(headers, "content-length")) {
+        return false;
+    }
+    return equal_without_case(*encoding, "chunked") || (may_end_at_close && equal_without_case(*encoding, "identity"));
+}
+
 template <class Head>
 struct message_reader<Head>::impl final : beast::http::basic_parser<std::is_same_v<Head, http_request_head>> {
     static constexpr bool is_request = std::is_same_v<Head, http_request_head>;
@@ -25,15 +43,17 @@
     }
 
     void on_request_impl(beast::http::verb /*verb*/, beast::string_view method, beast::string_view target,
-                         int /*version*/, error_type& /*error*/) override
+                         int message_version, error_type& /*error*/) override
     {
+        version = message_version;
         if constexpr (is_request) {
             head.method.assign(method.data(), method.size());
             head.target.assign(target.data(), target.size());
         }
     }
-    void on_response_impl(int status, beast::string_view reason, int /*version*/, error_type& /*error*/) override
+    void on_response_impl(int status, beast::string_view reason, int message_version, error_type& /*error*/) override
     {
+        version = message_version;
         if constexpr (!is_request) {
             head.status = status;
             head.reason.assign(reason.data(), reason.size());
@@ -53,8 +73,12 @@
             error = beast::http::error::header_limit;
         }
     }
-    void on_header_impl(error_type& /*error*/) override
+    void on_header_impl(error_type& error) override
     {
+        if (!has_sound_transfer_encoding(head.headers, version, !is_request)) {
+            error = beast::http::error::bad_transfer_encoding;
+            return;
+        }
         head_done = true;
         head.keep_alive = this->keep_alive();
         if constexpr (!is_request) {
@@ -80,6 +104,7 @@
 
     message_callbacks<Head> callbacks;
     Head head;
+    int version{http_1_1};
     bool head_done{false};
     std::uint32_t header_bytes;
     std::size_t trailer_bytes{0};
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -72,6 +72,74 @@
     CHECK(read.result.error().code == error_code::malformed);
 }
 
+// Guards against requests smuggled in the body of another one: the parser takes a request whose transfer encoding does
+// not end in chunks for one without a body, and the body is then read as the next request.
+SCENARIO("a request whose transfer encoding does not delimit its body is refused")
+{
+    const std::string framing = GENERATE(
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n", "transfer-ENCODING:\tIdentity \r\n",
+        "Transfer-Encoding: chunked, identity\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: chunked;q=1\r\n", "Transfer-Encoding: \"chunked\"\r\n", "Transfer-Encoding: xchunked\r\n",
+        "Transfer-Encoding: ,\r\n",
+        // The end is known, but the body could not be passed on as it is without its coding.
+        "Transfer-Encoding: gzip, chunked\r\n",
+        // Delimited for one reader by the length, and for another by the encoding.
+        "Content-Length: 5\r\nTransfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n");
+    CAPTURE(framing);
+    const read_result read = read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\n" + framing + "\r\nhello", 1000);
+    REQUIRE(!read.result);
+    CHECK(read.result.error().code == error_code::malformed);
+    CHECK(!read.head);
+}
+
+// Guards against a chunked body that an HTTP/1.0 recipient does not recognise and reads as the next message.
+SCENARIO("a message of HTTP/1.0 with a transfer encoding is refused")
+{
+    const read_result read =
+        read_in_pieces("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1000);
+    REQUIRE(!read.result);
+    CHECK(read.result.error().code == error_code::malformed);
+}
+
+SCENARIO("one chunked transfer encoding delimits a body in any case and with any blanks")
+{
+    const std::string framing = GENERATE("Transfer-Encoding: chunked\r\n", "TRANSFER-ENCODING: \t CHUNKED \t\r\n",
+                                         "Transfer-Encoding:\r\n chunked\r\n");
+    CAPTURE(framing);
+    const read_result read =
+        read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\n" + framing + "\r\n5\r\nhello\r\n0\r\n\r\n", 1000);
+    REQUIRE(read.result);
+    CHECK(read.done);
+    CHECK(read.body == "hello");
+}
+
+// Guards against answers of which one reader sees more or less than another, or whose body is passed on without the
+// coding that it needs.
+SCENARIO("an answer whose transfer encoding contradicts its length, or cannot be decoded, is malformed")
+{
+    const auto read_answer_head = [](const std::string& framing) {
+        std::optional<http_answer_head> head;
+        answer_reader reader{{}, {[&head](http_answer_head read) { head = std::move(read); }, [](std::string_view) {}}};
+        std::string input = "HTTP/1.1 200 OK\r\n" + framing + "\r\nhello";
+        const outcome<void> result = reader.feed(input);
+        CHECK(result.has_value() == head.has_value());
+        return head;
+    };
+    CHECK(!read_answer_head("Transfer-Encoding: gzip\r\n"));
+    CHECK(!read_answer_head("Transfer-Encoding: gzip, chunked\r\n"));
+    CHECK(!read_answer_head("Transfer-Encoding: identity\r\nContent-Length: 5\r\n"));
+    CHECK(!read_answer_head("Content-Length: 5\r\nTransfer-Encoding: gzip\r\n"));
+    CHECK(!read_answer_head("Transfer-Encoding: chunked, identity\r\n"));
+    WHEN("it names the encoding that changes nothing")
+    {
+        const auto head = read_answer_head("Transfer-Encoding: identity\r\n");
+        REQUIRE(head);
+        CHECK(head->close_delimited);
+    }
+}
+
 SCENARIO("an exceeded limit is distinguished from malformed input")
 {
     message_limits limits;
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -74,6 +74,18 @@
 
 } // namespace
 
+// Guards against running the text in the body of a request as a request of its own.
+SCENARIO("a request that cannot be delimited is refused, and its connection ends before its body is read as a request")
+{
+    server_fixture test;
+    test.client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: identity\r\n\r\n"
+                              "POST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    test.wait_for_end();
+    CHECK(test.exchanges.empty());
+    CHECK(test.client.received.starts_with("HTTP/1.1 400 "));
+    CHECK(test.client.received.find("Connection: close") != std::string::npos);
+}
+
 SCENARIO("a persistent connection processes one request after the other")
 {
     server_fixture test;
