Forward every change of the log, also those already known from a page

Cause: a VM that reads the newest records in several pages reads the log from the offset that its first page reached. A change that a later page held already was dropped as known before it entered the history that is forwarded, and the VM told others that they have all changes up to its end. That holds for each keyed topic.

Change: the history takes all records of a range that extends the end, whether or not they were known (extend_to, the only place that adds to it).

--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -100,6 +100,7 @@
     void read_changes();
     std::chrono::milliseconds next_wait() const;
     void apply_range(const log_range& range);
+    void extend_to(std::uint64_t end, const std::vector<keyed_record>& records);
     void apply_record(const keyed_record& record);
     void set_reachable(bool reachable, const std::string& reason, steady_time since);
     steady_time unreachable_since() const;
@@ -112,6 +113,7 @@
     follower_callbacks callbacks_;
     bool complete_{false};
     bool reachable_{true};
+    /// All changes before this offset are held, if `gap_free_` is set.
     std::uint64_t next_offset_{0};
     /// The store has discarded all records before this offset.
     std::uint64_t first_available_{0};
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -205,13 +205,10 @@
         continue_reading();
         return;
     }
-    for (const keyed_record& record : range.records) {
-        // Another VM may have forwarded later records while this read was in flight.
-        if (record.offset >= next_offset_) {
-            apply_record(record);
-        }
+    // Another VM may have forwarded later records while this read was in flight.
+    if (range.end > next_offset_) {
+        extend_to(range.end, range.records);
     }
-    next_offset_ = std::max(next_offset_, range.end);
     mark_complete();
     after(settings_.poll_interval, [this] { continue_reading(); });
 }
@@ -236,8 +233,17 @@
     if (!gap_free_ || paging_ || from > next_offset_ || end <= next_offset_) {
         return;
     }
+    extend_to(end, records);
+}
+
+/// Applies the changes from `next_offset_` to an end. All of them enter the history, also those that the pages of newest
+/// records or a snapshot of another VM held already: VMs that are supplied from the history have not seen these.
+/// @param records all changes between the two offsets, in the order of their offsets; they may start earlier.
+void topic_follower::extend_to(std::uint64_t end, const std::vector<keyed_record>& records)
+{
     for (const keyed_record& record : records) {
         if (record.offset >= next_offset_) {
+            append_to_history(record);
             apply_record(record);
         }
     }
@@ -304,7 +310,6 @@
     else if (known != known_records_.end()) {
         known_records_.erase(known);
     }
-    append_to_history(record);
     callbacks_.changed(record);
 }
 
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -6,7 +6,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
 #include <map>
+#include <random>
 
 using namespace agatespar;
 using namespace std::chrono_literals;
@@ -435,3 +438,32 @@
     topic.loop.advance(10ms);
     CHECK(recorded.values == strings{{"a", "1"}});
 }
+
+// Guards against other VMs that never learn of a change, such as of a server that drains: the change was already known
+// from a later page when the log was read, and was left out of the history that is forwarded to them.
+SCENARIO("a VM that has read the newest records in several pages forwards the changes that its later pages held")
+{
+    fake_topic topic;
+    for (const char* key : {"a", "b", "c", "d"}) {
+        topic.write(key, "1");
+    }
+    change_recorder other_recorded;
+    topic_follower other{topic.loop, topic.store, follow(fleet_topic::servers), other_recorded.callbacks()};
+    other.apply_newest(4, {{"a", "1", 0}, {"b", "1", 1}, {"c", "1", 2}, {"d", "1", 3}});
+
+    topic.after_first_page = [&topic] { topic.write("d", "draining"); };
+    change_recorder recorded;
+    topic_follower restarted{topic.loop, topic.store, follow(fleet_topic::servers), recorded.callbacks()};
+    restarted.set_reading(true);
+    topic.loop.advance(100ms);
+    REQUIRE(recorded.values["d"] == "draining");
+    REQUIRE(restarted.end() == 5);
+
+    const auto changes = restarted.changes_since(other.end());
+    REQUIRE(changes);
+    other.apply_changes(other.end(), restarted.end(), *changes);
+    CHECK(other.end() == 5);
+    CHECK(other_recorded.values["d"] == "draining");
+    // Each change is reported once, whichever way it became known.
+    CHECK(std::count(recorded.lines.begin(), recorded.lines.end(), "d=draining") == 1);
+}
