Claim the offset of the newest records only after their last page

Callers could see: records of the store, such as a server that drains, that a VM never learns of until they are written again. Not reported; found by a property test.

Cause: the first page of newest records raised the offset up to which the VM claims all changes.

Change: the offset moves when the last page has been applied.

--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -115,6 +115,8 @@
     bool reachable_{true};
     /// All changes before this offset are held, if `gap_free_` is set.
     std::uint64_t next_offset_{0};
+    /// What `next_offset_` becomes when the last page of newest records has been read.
+    std::uint64_t pages_end_{0};
     /// The store has discarded all records before this offset.
     std::uint64_t first_available_{0};
     int failures_{0};
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -113,9 +113,9 @@
         listed_keys_.clear();
         // The pages are no consistent snapshot, and the end offset that the store returns with a page may lie after the
         // records in it. So the log is read from the last record of the first page on; it holds all later changes.
-        next_offset_ = std::max(next_offset_, first_available_);
+        pages_end_ = std::max(next_offset_, first_available_);
         for (const keyed_record& record : page.records) {
-            next_offset_ = std::max(next_offset_, record.offset + 1);
+            pages_end_ = std::max(pages_end_, record.offset + 1);
         }
     }
     for (const keyed_record& record : page.records) {
@@ -127,6 +127,8 @@
         return;
     }
     paging_ = false;
+    // Only now is every record before this offset held: each key has been on a page that was read after the first one.
+    next_offset_ = pages_end_;
     remove_missing_keys(next_offset_);
     mark_gap_free();
     // The delay lets the owner disable reading first, if other VMs can supply the changes from here on.
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -467,3 +467,28 @@
     // Each change is reported once, whichever way it became known.
     CHECK(std::count(recorded.lines.begin(), recorded.lines.end(), "d=draining") == 1);
 }
+
+// Guards against a claim of completeness made from pages that were never read to their end.
+SCENARIO("a VM whose read of the newest records was broken off does not claim the offset that its first page reached")
+{
+    fake_topic topic;
+    for (const char* key : {"a", "b", "c", "d"}) {
+        topic.write(key, "1");
+    }
+    const std::uint64_t older_end = topic.log.size();
+    topic.write("d", "draining");
+    topic.write("a", "2");
+    change_recorder recorded;
+    topic_follower follower{topic.loop, topic.store, follow(fleet_topic::servers), recorded.callbacks()};
+    topic.after_first_page = [&topic] { topic.down = true; };
+    follower.set_reading(true);
+    topic.loop.advance(10ms);
+    REQUIRE(!follower.is_gap_free());
+    REQUIRE(recorded.values == strings{{"a", "2"}, {"b", "1"}});
+
+    follower.apply_newest(older_end, {{"a", "1", 0}, {"b", "1", 1}, {"c", "1", 2}, {"d", "1", 3}});
+    CHECK(follower.end() == older_end);
+    topic.down = false;
+    topic.loop.advance(2s);
+    CHECK(recorded.values == strings{{"a", "2"}, {"b", "1"}, {"c", "1"}, {"d", "draining"}});
+}
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -134,6 +134,21 @@
     }
 }
 
+// Guards against chunk sizes inside the body that an HTTP/1.0 client sees: it does not know the encoding.
+SCENARIO("a streamed answer to a client of HTTP/1.0 ends with its connection")
+{
+    server_fixture test;
+    test.client.stream->write("GET /old HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
+    test.wait_for_requests(1);
+    http_answer_head head = local_answer_head(200);
+    test.exchanges[0]->begin(head);
+    test.exchanges[0]->send_chunk("first ");
+    test.exchanges[0]->send_chunk("second");
+    test.exchanges[0]->finish();
+    test.wait_for_end();
+    CHECK(test.client.received == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfirst second");
+}
+
 SCENARIO("the disconnect of a client is reported while its request is being answered")
 {
     server_fixture test;
