Stream to clients of HTTP/1.0 without chunks

Callers could see: sizes of chunks inside the body of a streamed answer, if the client speaks HTTP/1.0, which does not know the encoding.

Change: such an answer ends with its connection (RFC 9112, section 6.3); one that is broken off resets it, so that it can't be mistaken for a complete one.

--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -33,6 +33,8 @@
     std::string target;
     http_headers headers;
     bool keep_alive{true};
+    /// The client knows chunked bodies, that is HTTP/1.1.
+    bool accepts_chunks{true};
 };
 
 struct http_answer_head {
--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -62,6 +62,7 @@
     friend class server_connection;
     void notify_disconnect();
     void end(bool keep_alive);
+    bool keeps_connection() const;
 
     std::shared_ptr<server_connection> connection_;
     http_request_head head_;
--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -65,6 +65,8 @@
     void read_now();
     /// Closes at once. Unsent bytes are lost; if bytes are unread, the operating system resets the connection.
     void close();
+    /// Closes at once in a way that the peer can't mistake for an orderly end.
+    void reset();
     /// Sends the unsent bytes, then closes the connection so that the peer can read all of them: received bytes are
     /// read and dropped for a while, as closing with unread bytes would reset the connection.
     void close_when_sent();
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -81,7 +81,10 @@
         }
         head_done = true;
         head.keep_alive = this->keep_alive();
-        if constexpr (!is_request) {
+        if constexpr (is_request) {
+            head.accepts_chunks = version >= http_1_1;
+        }
+        else {
             head.close_delimited = this->need_eof();
         }
         callbacks.head(std::move(head));
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -91,14 +91,15 @@
     }
     assert(!answer_started_ && "a request is answered once");
     answer_started_ = true;
-    connection_->write(write_answer_head(head, body_framing::chunks, 0, !connection_->closes_after_answer()));
+    const auto framing = head_.accepts_chunks ? body_framing::chunks : body_framing::none;
+    connection_->write(write_answer_head(head, framing, 0, keeps_connection()));
 }
 
 void server_exchange::send_chunk(std::string_view bytes)
 {
     // An empty chunk would end the body.
     if (connection_ != nullptr && !bytes.empty()) {
-        connection_->write(write_chunk(bytes));
+        connection_->write(head_.accepts_chunks ? write_chunk(bytes) : std::string{bytes});
     }
 }
 
@@ -107,9 +108,17 @@
     if (connection_ == nullptr) {
         return;
     }
-    connection_->write(last_chunk);
+    if (head_.accepts_chunks) {
+        connection_->write(last_chunk);
+    }
     // The head has announced whether the connection stays open, but the listener may have begun to close since.
-    end(!connection_->closes_after_answer());
+    end(keeps_connection());
+}
+
+/// @return whether the connection stays open after a streamed answer; its end delimits an answer without chunks.
+bool server_exchange::keeps_connection() const
+{
+    return head_.accepts_chunks && !connection_->closes_after_answer();
 }
 
 void server_exchange::end(bool keep_alive)
@@ -130,7 +139,8 @@
     connection_.reset();
     disconnect_callback_ = nullptr;
     drained_callback_ = nullptr;
-    connection->close_now();
+    const bool ends_with_connection = answer_started_ && !head_.accepts_chunks;
+    connection->close_now(ends_with_connection);
 }
 
 std::size_t server_exchange::unsent() const
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -139,9 +139,12 @@
     }
 }
 
-void server_connection::close_now()
+void server_connection::close_now(bool by_reset)
 {
     exchange_.reset();
+    if (by_reset) {
+        stream_->reset();
+    }
     stream_->close();
     unregister();
 }
--- a/lib/http/server_connection.h
+++ b/lib/http/server_connection.h
@@ -21,7 +21,8 @@
     /// To be called when the answer to the current request has been written. @param keep_alive whether another request
     /// may follow.
     void end_exchange(bool keep_alive);
-    void close_now();
+    /// @param by_reset whether the client would take an orderly end for the end of the answer.
+    void close_now(bool by_reset);
     bool is_busy() const { return !exchange_.expired(); }
     /// @return whether a request is being answered or read, or, while the listener stops, may be in transit.
     bool may_have_request() const { return is_busy() || reader_ || awaits_first_request_; }
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -275,6 +275,15 @@
     }
 }
 
+void tcp_stream::reset()
+{
+    if (is_open()) {
+        const linger at_once{1, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        close();
+    }
+}
+
 void tcp_stream::close_when_sent()
 {
     if (!is_open() || lingering_) {
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -140,15 +140,28 @@
     server_fixture test;
     test.client.stream->write("GET /old HTTP/1.0\r\nHost: a\r\nConnection: keep-alive\r\n\r\n");
     test.wait_for_requests(1);
-    http_answer_head head = local_answer_head(200);
-    test.exchanges[0]->begin(head);
+    test.exchanges[0]->begin(local_answer_head(200));
     test.exchanges[0]->send_chunk("first ");
     test.exchanges[0]->send_chunk("second");
     test.exchanges[0]->finish();
     test.wait_for_end();
+    CHECK(test.client.ended == stream_end::closed);
     CHECK(test.client.received == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfirst second");
 }
 
+SCENARIO("an aborted answer to a client of HTTP/1.0 can't be mistaken for a complete one")
+{
+    server_fixture test;
+    test.client.stream->write("GET /old HTTP/1.0\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    test.exchanges[0]->begin(local_answer_head(200));
+    test.exchanges[0]->send_chunk("first ");
+    test.wait_for_text("first ");
+    test.exchanges[0]->abort();
+    test.wait_for_end();
+    CHECK(test.client.ended == stream_end::broken);
+}
+
 SCENARIO("the disconnect of a client is reported while its request is being answered")
 {
     server_fixture test;
