--- a/include/agatespar/frontend/http_server.h
+++ b/include/agatespar/frontend/http_server.h
@@ -37,6 +37,8 @@
 struct http_server_counters {
     std::uint64_t requests{0};
     std::uint64_t too_large{0};
+    /// Requests whose head does not tell where they end.
+    std::uint64_t undelimited{0};
     std::uint64_t timed_out{0};
     std::uint64_t over_connection_limit{0};
     std::uint64_t slow_readers_disconnected{0};
--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -226,6 +226,8 @@
     set_metric(metrics, "agatespar_http_requests_total", "HTTP requests.", http_counters.requests);
     set_metric(metrics, "agatespar_http_too_large_total", "HTTP requests with too large a body.",
                http_counters.too_large);
+    set_metric(metrics, "agatespar_http_undelimited_total", "HTTP requests whose head does not tell where they end.",
+               http_counters.undelimited);
     set_metric(metrics, "agatespar_http_timed_out_total", "HTTP requests that came too slowly.",
                http_counters.timed_out);
     return render_prometheus(metrics);
--- /dev/null
+++ b/unittests/frontend/http_server_test.cpp
@@ -0,0 +1,56 @@
+// Tests of the product's own HTTP server against requests that cannot be delimited.
+#include "../http/loopback.h"
+
+#include <agatespar/frontend/http_server.h>
+
+using namespace agatespar;
+using namespace agatespar::test;
+
+// Guards against running the text in the body of a request as a request of its own.
+SCENARIO("the product's own interface refuses a request that cannot be delimited, and reads nothing after it")
+{
+    const std::string framing = GENERATE(
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding: gzip\r\n", "Transfer-Encoding: chunked, identity\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding:\r\n", "Transfer-Encoding: identity\r\nContent-Length: 5\r\n",
+        "Content-Length: 5\r\nTransfer-Encoding: identity\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: 5, 6\r\n", "Content-Length: +5\r\n", "Content-Length: 5x\r\n");
+    CAPTURE(framing);
+    glib_event_loop loop;
+    std::vector<std::string> paths;
+    http_server_settings settings;
+    settings.listen_address = "127.0.0.1:0";
+    auto server = http_server::open(loop, settings, [&paths](const std::shared_ptr<http_exchange>& exchange) {
+        paths.push_back(exchange->path());
+        exchange->respond(200, "text/plain", "ran");
+    });
+    REQUIRE(server);
+    raw_peer client;
+    client.connect(loop, (*server)->address());
+    client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\n" + framing +
+                         "\r\nPOST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    run_until(loop, [&client] { return client.ended.has_value(); });
+    CAPTURE(client.received);
+    CHECK(paths.empty());
+    CHECK((client.received.starts_with("HTTP/1.1 400 ") || client.received.starts_with("HTTP/1.1 501 ")));
+}
+
+SCENARIO("nothing is read after a request that should have a body and whose length could not be read")
+{
+    glib_event_loop loop;
+    std::vector<std::string> paths;
+    http_server_settings settings;
+    settings.listen_address = "127.0.0.1:0";
+    auto server = http_server::open(loop, settings, [&paths](const std::shared_ptr<http_exchange>& exchange) {
+        paths.push_back(exchange->path());
+        exchange->respond(200, "text/plain", "ran");
+    });
+    REQUIRE(server);
+    raw_peer client;
+    client.connect(loop, (*server)->address());
+    client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\n"
+                         "POST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    run_until(loop, [&client] { return client.ended.has_value(); });
+    CHECK(paths == std::vector<std::string>{"/order"});
+}
