Forget a request of the product's own interface when libsoup frees it

Callers could see: the process of the product's own interface ending 20 s after anybody sent bytes that are no HTTP. Found while testing what libsoup does with heads that can't be delimited.

Cause: libsoup refuses such a head by itself and frees its message without the signal finished. The entry and the timer of the request stayed, and the timer used the freed message.

Change: the entry is dropped when the message is freed (a weak reference).

--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -181,11 +181,16 @@
     void start_request(SoupServerMessage* message);
     void disconnect_slow_request(SoupServerMessage* message);
     void answer(SoupServerMessage* message);
+    void forget(SoupServerMessage* message);
 
     static void handle_started(SoupServer* /*server*/, SoupServerMessage* message, gpointer data)
     {
         static_cast<impl*>(data)->start_request(message);
     }
+    static void handle_freed(gpointer data, GObject* message)
+    {
+        static_cast<impl*>(data)->forget(reinterpret_cast<SoupServerMessage*>(message));
+    }
     static void handle_got_headers(SoupServerMessage* message, gpointer data);
     static void handle_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data);
     static void handle_got_body(SoupServerMessage* message, gpointer data);
@@ -266,6 +271,8 @@
     incoming_request& request = incoming[message];
     request.timeout = loop.schedule(settings.request_timeout, [this, message] { disconnect_slow_request(message); });
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    // libsoup frees the message of a request whose head it refuses without the signal "finished".
+    g_object_weak_ref(G_OBJECT(message), &impl::handle_freed, this);
     g_signal_connect(message, "got-headers", G_CALLBACK(&impl::handle_got_headers), this);
     g_signal_connect(message, "got-chunk", G_CALLBACK(&impl::handle_got_chunk), this);
     g_signal_connect(message, "got-body", G_CALLBACK(&impl::handle_got_body), this);
@@ -362,13 +369,22 @@
 void http_server::impl::handle_finished(SoupServerMessage* message, gpointer data)
 {
     auto* self = static_cast<impl*>(data);
-    const auto found = self->incoming.find(message);
-    if (found == self->incoming.end()) {
+    if (self->incoming.contains(message)) {
+        g_object_weak_unref(G_OBJECT(message), &impl::handle_freed, self);
+        self->forget(message);
+    }
+}
+
+/// Drops all that is kept of a request whose message ends or is being freed.
+void http_server::impl::forget(SoupServerMessage* message)
+{
+    const auto found = incoming.find(message);
+    if (found == incoming.end()) {
         return;
     }
-    self->loop.cancel(found->second.timeout);
-    self->incoming.erase(found);
-    --self->counters.open_connections;
+    loop.cancel(found->second.timeout);
+    incoming.erase(found);
+    --counters.open_connections;
 }
 
 static void refuse(SoupServerMessage* message, int status, const char* code, const char* text)
@@ -421,6 +437,7 @@
     soup_server_disconnect(impl_->server);
     for (const auto& [message, request] : impl_->incoming) {
         impl_->loop.cancel(request.timeout);
+        g_object_weak_unref(G_OBJECT(message), &impl::handle_freed, impl_.get());
         g_signal_handlers_disconnect_by_data(message, impl_.get());
     }
     g_object_unref(impl_->server);
--- a/unittests/frontend/http_server_test.cpp
+++ b/unittests/frontend/http_server_test.cpp
@@ -54,3 +54,22 @@
     run_until(loop, [&client] { return client.ended.has_value(); });
     CHECK(paths == std::vector<std::string>{"/order"});
 }
+
+// Guards against a timer of a request that libsoup has refused and freed: it ended the process 20 s later.
+SCENARIO("a request that is no HTTP leaves nothing behind once its connection has ended")
+{
+    glib_event_loop loop;
+    http_server_settings settings;
+    settings.listen_address = "127.0.0.1:0";
+    auto server = http_server::open(loop, settings, [](const std::shared_ptr<http_exchange>&) {});
+    REQUIRE(server);
+    const std::string text = GENERATE("\x16\x03\x01\x02 what\r\n\r\n", "GET / HTTP/1.1\r\n\r\n", "GET\r\n\r\n",
+                                      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n");
+    CAPTURE(text);
+    raw_peer client;
+    client.connect(loop, (*server)->address());
+    client.stream->write(text);
+    run_until(loop, [&client] { return client.ended.has_value() || !client.received.empty(); });
+    client.stream->close();
+    run_until(loop, [&server] { return (*server)->counters().open_connections == 0; });
+}
