Judge a new version's times relative to the old one's, without a floor

Cause: no answer faster than 150 ms counted as slow, and the old version's were not judged by the same measure.

Change: an answer of either version is slow from a multiple of the old version's median on, round trips taken off, and the shares of slow answers are compared over all routes together.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <agatespar/gateway/fleet_state.h>
 #include <agatespar/gateway/model_pressure.h>
 #include <agatespar/gateway/protocol.h>
+#include <agatespar/gateway/recent_times.h>
 #include <agatespar/gateway/record_relay.h>
 #include <agatespar/gateway/server_choice.h>
 #include <agatespar/gateway/service_retry_budget.h>
@@ -153,6 +154,8 @@
     std::unique_ptr<record_relay> relay_;
     std::map<service_name, service_retry_budget> budgets_;
     std::map<service_name, model_pressure> pressures_;
+    /// Times that connections to servers of a zone took to open.
+    std::map<zone_name, recent_times> round_trips_;
     bool writing_report_{false};
     bool stopping_{false};
     /// When the requests that are open during a stop are ended, so that their answers can still be sent.
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -4,6 +4,7 @@
 
 #include <agatespar/gateway/fleet_records.h>
 #include <agatespar/gateway/recent_sessions.h>
+#include <agatespar/gateway/recent_times.h>
 #include <agatespar/gateway/version_comparison.h>
 #include <agatespar/support/clock.h>
 
@@ -41,16 +42,18 @@
     /// Minimum intervals between two evidence records of one VM: after bad answers, and while all answers are good.
     std::chrono::milliseconds evidence_interval{300};
     std::chrono::milliseconds good_evidence_interval{2000};
-    /// An answer of the new version is bad if it takes this many times as long as the old version's. Faulty versions
-    /// are several times slower.
-    double slow_factor{4};
-    /// Answers faster than this are never counted as slow, as short times vary by large factors.
-    std::chrono::milliseconds slow_floor{150};
-    /// A stream is slow if the median time between its events is this many times that of the old version's streams. The
-    /// median varies less than the time to the first byte, so a smaller factor suffices.
-    double slow_pace_factor{2.5};
-    /// Streams whose events follow each other faster than this are never counted as slow.
-    std::chrono::milliseconds slow_pace_floor{20};
+    /// An answer of either version is slow from this many times the old version's median on. What counts is by how much
+    /// the new version's share of slow answers exceeds the old one's, so times that vary much hide less and cost
+    /// nothing. The old version's servers are busier: a faulty version that is five times slower on idle servers takes
+    /// less than three times the old version's median.
+    double slow_factor{2};
+    /// The same for the median time between the events of a stream, which varies less than single times.
+    double slow_pace_factor{1.4};
+    /// The same for the first byte of a stream, which depends on the prompt more than on the server.
+    double slow_stream_begin_factor{4};
+    /// Part by which the new version's share of slow answers may exceed the old one's. A few slow servers do not make a
+    /// version bad.
+    double slow_tolerance{0.1};
     /// VMs report the old version's answers of this last interval together with the new version's: a fault that hits
     /// half of the servers shows in both versions at the same time.
     std::chrono::milliseconds comparison_window{500};
@@ -76,14 +79,17 @@
 struct observed_answer {
     bool by_target{false};
     std::string route;
-    /// Answers of one group take similar times, e.g. those of one route and model.
+    /// Answers of one group take similar times: those of one route and model.
     std::string group;
     /// The server has not failed the request.
     bool good{true};
-    /// Time to the first byte, or the time that the attempt has waited for it so far.
+    /// Time from the request's arrival at the server to the first byte, or the time that the server has had for it so
+    /// far: without the round trips, which depend on the server's zone and not on its version.
     duration first_byte{0};
     /// Median time between the events of a stream; none for other answers, and for too few events.
     std::optional<duration> event_interval;
+    /// Its server was not cold and its round trips are known, so that its times say something about its version.
+    bool has_usual_times{true};
 };
 
 /// State of one roll-out on one VM; there is one for each service with an order. No leader is needed: each VM follows
@@ -108,8 +114,8 @@
     /// @return the valid choice for a request whose version was chosen earlier: once the roll-out has ended, its
     /// outcome replaces the earlier choice.
     version_choice current_choice(version_choice chosen) const;
-    /// @return how long the new version's answers of this group may take to begin before they count as slow, or nothing
-    /// if this VM has no answer of the old version to compare with.
+    /// @return how long an answer of this group may take to begin before it counts as slow, or nothing if this VM has
+    /// too few answers of the old version to compare with.
     std::optional<duration> first_byte_limit(const std::string& group) const;
     /// @return whether the answer is several times slower than the old version's of the same group. Such an answer
     /// counts as slow whatever its end is, so it can be counted while it lasts.
@@ -132,14 +138,14 @@
     const guard_verdict& slowness_verdict() const { return slowness_.verdict(); }
 
 private:
-    /// Times that the old version's answers of one group take: moving averages in seconds.
+    /// Times that the old version's answers of one group take.
     struct usual_times {
-        double first_byte{0};
-        double event_interval{0};
-        /// Number of streams that the average of the intervals is based on.
-        int streams{0};
+        recent_times first_byte;
+        recent_times event_interval;
     };
 
+    /// @return whether the answer is slow, or nothing if its times can't be compared.
+    std::optional<bool> judge_time(const observed_answer& answer) const;
     void update_usual_times(const observed_answer& answer);
     void update_verdict(steady_time now);
 
--- a/include/agatespar/gateway/version_comparison.h
+++ b/include/agatespar/gateway/version_comparison.h
@@ -13,12 +13,15 @@
 namespace agatespar {
 
 /// Counts the answers of this VM and of others, and tests whether the target has a larger share of bad ones than the
-/// versions that it replaces. Routes of one service may differ much in that share, so they are compared route by route.
+/// versions that it replaces.
 class version_comparison {
 public:
+    /// @param classes number of classes that routes are divided into and compared in, at most rollout_classes: several
+    /// if routes may differ much in their usual share of bad answers, else one, which needs fewer answers.
     /// @param own_id identifies this VM and its start. @param window the old version's answers of this last interval
     /// are reported together with the new version's.
-    version_comparison(const guard_settings& settings, std::uint64_t own_id, std::chrono::milliseconds window);
+    version_comparison(const guard_settings& settings, std::size_t classes, std::uint64_t own_id,
+                       std::chrono::milliseconds window);
 
     /// Counts an answer that this VM received.
     void record(const std::string& route, bool by_target, bool good, steady_time now);
--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -58,6 +58,11 @@
     /// @return the arrival time of the first byte of an answer whose head is still incomplete, or std::nullopt if there
     /// is no such answer.
     std::optional<steady_time> partial_head_since() const;
+    /// @return how long its own connection took to open, that is a round trip; nothing for a reused connection and for
+    /// one that is not open yet.
+    std::optional<duration> connect_time() const { return connect_time_; }
+    /// @return whether the call uses a connection that an earlier call opened.
+    bool is_reused() const { return !opened_at_; }
 
 private:
     friend class connection_pool;
@@ -88,6 +93,8 @@
     int skipped_{0};
     bool reusable_{true};
     bool head_request_{false};
+    std::optional<steady_time> opened_at_;
+    std::optional<duration> connect_time_;
     std::optional<timer_id> connect_timer_;
 };
 
--- a/lib/gateway/event_pace.cpp
+++ b/lib/gateway/event_pace.cpp
@@ -1,5 +1,6 @@
 // Keeps the first intervals of a stream and finds their median.
 #include <agatespar/gateway/event_pace.h>
+#include <agatespar/gateway/recent_times.h>
 
 #include <algorithm>
 
@@ -23,10 +24,7 @@
     if (pace.intervals.size() < 2) {
         return std::nullopt;
     }
-    std::vector<duration> sorted = pace.intervals;
-    const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>((sorted.size() - 1) / 2);
-    std::nth_element(sorted.begin(), middle, sorted.end());
-    return *middle;
+    return median(pace.intervals);
 }
 
 } // namespace agatespar
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -7,10 +7,8 @@
 
 namespace agatespar {
 
-// Weight of the newest answer in a group's moving average of answer times: about twenty answers contribute.
-static constexpr double newest_weight = 0.05;
-// Paces are compared once this many streams of the old version contribute to the average.
-static constexpr int min_streams = 3;
+// Answers are judged once this many of the old version are known in their group.
+static constexpr std::size_t min_usual_times = 5;
 // Part of the operators' limit on exposed requests that is left for their uneven arrival.
 static constexpr double exposure_margin = 0.01;
 // A stop is not final, as a good version may look bad for a moment, until its good answers are reported.
@@ -19,8 +17,9 @@
 rollout_watch::rollout_watch(const rollout_order& order, const rollout_settings& settings, std::uint64_t own_id,
                              const std::vector<session_hash>& active_sessions, steady_time now)
     : order_(order), settings_(settings), own_id_(own_id), started_(now),
-      failures_(non_latching_guard, own_id, settings.comparison_window),
-      slowness_(non_latching_guard, own_id, settings.comparison_window),
+      failures_(non_latching_guard, rollout_classes, own_id, settings.comparison_window),
+      slowness_({.tolerance = settings.slow_tolerance, .stop_is_permanent = false}, 1, own_id,
+                settings.comparison_window),
       pinned_sessions_(active_sessions.begin(), active_sessions.end()), own_pinned_sessions_(active_sessions)
 {
     const std::uint64_t position = combine_hashes(own_id, stable_hash(order.service.value()));
@@ -73,9 +72,14 @@
     return chosen;
 }
 
-static double in_seconds(duration time)
+/// @return the time beyond which an answer is slow, or nothing while too few answers are known.
+static std::optional<duration> slow_limit(const recent_times& usual, double factor)
 {
-    return std::chrono::duration<double>(time).count();
+    if (usual.times.size() < min_usual_times) {
+        return std::nullopt;
+    }
+    const std::chrono::duration<double> limit{factor * *median(usual.times)};
+    return std::chrono::duration_cast<duration>(limit);
 }
 
 std::optional<duration> rollout_watch::first_byte_limit(const std::string& group) const
@@ -84,23 +88,30 @@
     if (usual == usual_times_.end()) {
         return std::nullopt;
     }
-    const std::chrono::duration<double> limit{settings_.slow_factor * usual->second.first_byte};
-    return std::max<duration>(settings_.slow_floor, std::chrono::duration_cast<duration>(limit));
+    const bool has_streams = usual->second.event_interval.times.size() >= min_usual_times;
+    return slow_limit(usual->second.first_byte,
+                      has_streams ? settings_.slow_stream_begin_factor : settings_.slow_factor);
 }
 
-bool rollout_watch::is_slow(const observed_answer& answer) const
+std::optional<bool> rollout_watch::judge_time(const observed_answer& answer) const
 {
-    // The old version's first bytes are not judged: under load, some take many times as long as the average.
-    const auto limit = answer.by_target ? first_byte_limit(answer.group) : std::nullopt;
-    if (limit && answer.first_byte > *limit) {
+    const auto first_byte = first_byte_limit(answer.group);
+    if (!first_byte || !answer.has_usual_times) {
+        return std::nullopt;
+    }
+    if (answer.first_byte > *first_byte) {
         return true;
     }
-    const auto usual = usual_times_.find(answer.group);
-    if (!answer.event_interval || usual == usual_times_.end() || usual->second.streams < min_streams) {
+    const auto interval = slow_limit(usual_times_.at(answer.group).event_interval, settings_.slow_pace_factor);
+    if (!interval) {
         return false;
     }
-    return *answer.event_interval > settings_.slow_pace_floor &&
-           in_seconds(*answer.event_interval) > settings_.slow_pace_factor * usual->second.event_interval;
+    return answer.event_interval ? std::optional{*answer.event_interval > *interval} : std::nullopt;
+}
+
+bool rollout_watch::is_slow(const observed_answer& answer) const
+{
+    return judge_time(answer).value_or(false);
 }
 
 bool rollout_watch::note_answer(const observed_answer& answer, steady_time now)
@@ -108,33 +119,30 @@
     if (state_ != rollout_state::in_progress) {
         return false;
     }
-    const bool slow = is_slow(answer);
+    const auto judged_slow = judge_time(answer);
+    const bool slow = judged_slow.value_or(false);
     failures_.record(answer.route, answer.by_target, answer.good, now);
-    if (answer.good || slow) {
+    if (judged_slow && (answer.good || slow)) {
         slowness_.record(answer.route, answer.by_target, !slow, now);
     }
     if (answer.by_target && (!answer.good || slow)) {
         last_bad_at_ = now;
     }
-    if (!answer.by_target && answer.good) {
+    if (!answer.by_target && answer.good && answer.has_usual_times) {
         update_usual_times(answer);
     }
     verdict_current_ = false;
     return slow;
 }
 
-/// Adds an answer of the old version to the averages of its group.
+/// Adds an answer of the old version to the times of its group.
 void rollout_watch::update_usual_times(const observed_answer& answer)
 {
-    const double first_byte = in_seconds(answer.first_byte);
-    usual_times& usual = usual_times_.try_emplace(answer.group, usual_times{first_byte, 0, 0}).first->second;
-    usual.first_byte += newest_weight * (first_byte - usual.first_byte);
-    if (!answer.event_interval) {
-        return;
+    usual_times& usual = usual_times_[answer.group];
+    note_time(usual.first_byte, answer.first_byte);
+    if (answer.event_interval) {
+        note_time(usual.event_interval, *answer.event_interval);
     }
-    const double interval = in_seconds(*answer.event_interval);
-    const double weight = std::max(newest_weight, 1.0 / ++usual.streams);
-    usual.event_interval += weight * (interval - usual.event_interval);
 }
 
 /// Updates the verdicts from all known answers, once for all answers that arrived since the last call.
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -25,6 +25,9 @@
 {
     const answer_metadata metadata = owner_.protocol_.read_answer(head);
     first_byte_ = owner_.loop_.time().now() - attempt_started_at_;
+    if (const auto round_trip = call_ ? call_->connect_time() : std::nullopt) {
+        note_time(owner_.round_trips_[server_->record.zone], *round_trip);
+    }
     const steady_time now = owner_.loop_.time().now();
     note_answer(*server_, metadata, now);
     server_->last_received_at = now;
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -273,6 +273,18 @@
     answer_error(progress_ == progress::nothing_ran ? 503 : 502, reason);
 }
 
+/// @return the part of the time to the first byte that the network takes, or nothing while it is not known: a round
+/// trip, and one more to open a connection.
+std::optional<duration> transparent_request::network_time() const
+{
+    if (call_ && !call_->is_reused()) {
+        const auto round_trip = call_->connect_time();
+        return round_trip ? std::optional{2 * *round_trip} : std::nullopt;
+    }
+    const auto known = owner_.round_trips_.find(server_->record.zone);
+    return known == owner_.round_trips_.end() ? std::nullopt : median(known->second.times);
+}
+
 observed_answer transparent_request::describe_observed(const rollout_watch& watch, bool good) const
 {
     observed_answer answer;
@@ -280,10 +292,11 @@
     answer.route = route_->name.value();
     answer.group = route_->name.value() + "/" + (model_ ? model_->value() : "");
     answer.good = good;
-    answer.first_byte = head_.status != 0 ? first_byte_ : owner_.loop_.time().now() - attempt_started_at_;
-    if (!sent_to_cold_server_) {
-        answer.event_interval = median_interval(pace_);
-    }
+    const duration elapsed = head_.status != 0 ? first_byte_ : owner_.loop_.time().now() - attempt_started_at_;
+    const auto network = network_time();
+    answer.first_byte = std::max(duration{0}, elapsed - network.value_or(duration{0}));
+    answer.event_interval = median_interval(pace_);
+    answer.has_usual_times = network && !sent_to_cold_server_;
     return answer;
 }
 
@@ -327,12 +340,13 @@
     if (watch == nullptr || watch->state() != rollout_state::in_progress) {
         return;
     }
-    const observed_answer answer = describe_observed(*watch, true);
-    const auto limit = answer.by_target ? watch->first_byte_limit(answer.group) : std::nullopt;
-    if (!limit) {
+    const auto limit = watch->first_byte_limit(describe_observed(*watch, true).group);
+    const auto round_trips = owner_.round_trips_.find(server_->record.zone);
+    if (!limit || round_trips == owner_.round_trips_.end()) {
         return;
     }
-    slow_timer_ = owner_.loop_.schedule(*limit + std::chrono::milliseconds{1}, [self = shared_from_this()] {
+    const duration network = 2 * *median(round_trips->second.times);
+    slow_timer_ = owner_.loop_.schedule(*limit + network + std::chrono::milliseconds{1}, [self = shared_from_this()] {
         self->slow_timer_.reset();
         if (self->head_.status == 0) {
             self->record_if_slow();
--- a/lib/gateway/version_comparison.cpp
+++ b/lib/gateway/version_comparison.cpp
@@ -2,8 +2,8 @@
 #include <agatespar/gateway/version_comparison.h>
 #include <agatespar/support/hash.h>
 
-#include <array>
 #include <utility>
+#include <vector>
 
 namespace agatespar {
 
@@ -18,21 +18,17 @@
     return class_index{static_cast<std::uint8_t>(index)};
 }
 
-/// @return the class of a route, equal on all VMs.
-static class_index class_of_route(const std::string& route)
-{
-    return class_at(stable_hash(route) % rollout_classes);
-}
-
-version_comparison::version_comparison(const guard_settings& settings, std::uint64_t own_id,
+version_comparison::version_comparison(const guard_settings& settings, std::size_t classes, std::uint64_t own_id,
                                        std::chrono::milliseconds window)
-    : window_(window), counts_(boot_id{own_id}, versions, rollout_classes), guard_(settings, target_index, others_index)
+    : window_(window), counts_(boot_id{own_id}, versions, classes), guard_(settings, target_index, others_index)
 {
 }
 
 void version_comparison::record(const std::string& route, bool by_target, bool good, steady_time now)
 {
-    counts_.record(by_target ? target_index : others_index, class_of_route(route), good);
+    // Equal on all VMs.
+    const class_index route_class = class_at(stable_hash(route) % counts_.classes());
+    counts_.record(by_target ? target_index : others_index, route_class, good);
     if (!by_target) {
         note_old_answer(good, now);
     }
@@ -63,8 +59,8 @@
 
 bool version_comparison::merge(std::uint64_t vm, const rollout_counts& counts)
 {
-    std::array<answer_tally, versions * rollout_classes> row;
-    for (std::size_t i = 0; i < rollout_classes; ++i) {
+    std::vector<answer_tally> row(versions * counts_.classes());
+    for (std::size_t i = 0; i < counts_.classes(); ++i) {
         row[counts_.tally_index(others_index, class_at(i))] = counts.classes[i].others;
         row[counts_.tally_index(target_index, class_at(i))] = counts.classes[i].target;
     }
@@ -82,7 +78,7 @@
 {
     const auto row = counts_.own_row();
     rollout_counts own;
-    for (std::size_t i = 0; i < rollout_classes; ++i) {
+    for (std::size_t i = 0; i < counts_.classes(); ++i) {
         own.classes[i].others = row[counts_.tally_index(others_index, class_at(i))];
         own.classes[i].target = row[counts_.tally_index(target_index, class_at(i))];
     }
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -52,7 +52,10 @@
 tcp_callbacks client_call::make_callbacks()
 {
     tcp_callbacks callbacks;
-    callbacks.connected = [this] { stop_timer(); };
+    callbacks.connected = [this] {
+        stop_timer();
+        connect_time_ = pool_->loop_.time().now() - *opened_at_;
+    };
     callbacks.received = [this](std::string_view bytes) {
         const auto self = shared_from_this();
         self->on_bytes(bytes);
@@ -71,6 +74,7 @@
         return tl::make_unexpected(stream.error());
     }
     stream_ = std::move(*stream);
+    opened_at_ = pool_->loop_.time().now();
     connect_timer_ = pool_->loop_.schedule(connect_timeout, [this] {
         const auto self = shared_from_this();
         self->connect_timer_.reset();
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -216,6 +216,103 @@
     CHECK(test.report->state == rollout_state::complete);
 }
 
+namespace {
+
+/// A service whose answers take times that vary by a log-normal distribution.
+struct timed_service {
+    std::chrono::duration<double, std::milli> median;
+    /// Standard deviation of the logarithm of the times.
+    double spread{0.35};
+    /// A portion of the new version's answers takes this many times as long.
+    double bad_share{0};
+    double slowness{1};
+    /// The first of the servers of each version take this many times as long.
+    std::size_t servers{8};
+    std::size_t slow_target_servers{0};
+    std::size_t slow_other_servers{0};
+    double slow_server_factor{4};
+    /// Both versions' answers take this many times as long from the fifth to the eighth second.
+    double burst_factor{1};
+};
+
+} // namespace
+
+/// Plays a roll-out with 50 requests a second on 9 VMs. @return its end.
+static rollout_state play_timed_service(const timed_service& service, unsigned seed)
+{
+    fleet test{9};
+    test.random.seed(seed);
+    std::normal_distribution<double> variation{0, service.spread};
+    const auto answer_time = [&](bool by_target) {
+        double time = service.median.count() * std::exp(variation(test.random));
+        time *= by_target && test.draw() < service.bad_share ? service.slowness : 1;
+        const auto server = static_cast<std::size_t>(test.draw() * static_cast<double>(service.servers));
+        const bool on_slow_server = server < (by_target ? service.slow_target_servers : service.slow_other_servers);
+        time *= on_slow_server ? service.slow_server_factor : 1;
+        const auto passed = test.time.now() - steady_time{1h};
+        time *= passed >= 5s && passed < 8s ? service.burst_factor : 1;
+        return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{time});
+    };
+    while (!test.report) {
+        REQUIRE(test.time.now() < steady_time{1h} + 24s);
+        rollout_watch& vm = test.vms[static_cast<std::size_t>(test.draw() * 9)];
+        const bool by_target =
+            vm.choose(test.draw(), std::nullopt, 9, test.time.now()) == version_choice::prefer_target;
+        vm.note_answer({by_target, "route", "route", true, answer_time(by_target), std::nullopt}, test.time.now());
+        test.time.advance(20ms);
+        test.exchange();
+    }
+    return test.report->state;
+}
+
+static int count_ends(const timed_service& service, rollout_state end, unsigned seeds)
+{
+    int count = 0;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        count += play_timed_service(service, seed) == end ? 1 : 0;
+    }
+    return count;
+}
+
+// Guards against a slow version of a quick service that is completed and kept: half of its answers take five times as
+// long, but none longer than an absolute bound made for services whose answers take seconds.
+SCENARIO("a version that is several times slower is reverted, however quick its service is")
+{
+    constexpr unsigned seeds = 20;
+    const auto median = GENERATE(as<std::chrono::milliseconds>{}, 5, 15, 50, 1000);
+    const double slowness = GENERATE(3.0, 5.0, 8.0);
+    CAPTURE(median.count(), slowness);
+    const timed_service service{.median = median, .bad_share = 0.5, .slowness = slowness};
+    CHECK(count_ends(service, rollout_state::reverted, seeds) == seeds);
+}
+
+// Guards against the cost of the scenario above: good versions that are reverted because times vary.
+SCENARIO("a good version is completed while answers of both versions are slow for reasons of their own")
+{
+    constexpr unsigned seeds = 20;
+    const auto median = GENERATE(as<std::chrono::milliseconds>{}, 5, 15, 50, 1000);
+    CAPTURE(median.count());
+    timed_service service{.median = median};
+    WHEN("times vary by large factors")
+    {
+        service.spread = 1;
+    }
+    WHEN("a burst makes all answers three times slower")
+    {
+        service.burst_factor = 3;
+    }
+    WHEN("a quarter of the servers of both versions are four times slower")
+    {
+        service.slow_target_servers = 2;
+        service.slow_other_servers = 2;
+    }
+    WHEN("one server of the new version is four times slower, and none of the old one")
+    {
+        service.slow_target_servers = 1;
+    }
+    CHECK(count_ends(service, rollout_state::complete, seeds) >= static_cast<int>(seeds) * 19 / 20);
+}
+
 SCENARIO("a slow answer is recognised while it lasts")
 {
     manual_clock time;
@@ -223,20 +320,25 @@
     observed_answer running{true, "route", "route", true, 100ms, 100ms};
     CHECK(!watch.is_slow(running));
     CHECK(!watch.first_byte_limit("route"));
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 10; ++i) {
         watch.note_answer({false, "route", "route", true, 100ms, 25ms}, time.now());
     }
     CHECK(watch.is_slow(running));
     CHECK(!watch.is_slow({true, "route", "another route", true, 100ms, 100ms}));
     WHEN("its events are as fast as those of the old version, it isn't slow")
     {
-        running.event_interval = 40ms;
+        running.event_interval = 34ms;
         CHECK(!watch.is_slow(running));
         AND_WHEN("it took several times as long to begin, it is")
         {
             CHECK(watch.first_byte_limit("route") == duration{400ms});
             running.first_byte = 401ms;
             CHECK(watch.is_slow(running));
+            AND_WHEN("its server is cold, its times say nothing about its version")
+            {
+                running.has_usual_times = false;
+                CHECK(!watch.is_slow(running));
+            }
         }
     }
 }
