Give the parser complete lines and the last chunk in one piece

Cause: the parser asserts that it is given five bytes when it continues with a last chunk, and the reader passed on whatever had arrived. Once it had waited for more bytes of a head, the parser also looked for errors only at the head's end, so the result depended on the pieces.

Change: the reader decides which bytes the parser gets, and counts the limits of heads and of chunks' headers itself.

Evidence: both new scenarios ended with the assertion before. With it 10,000 generated messages read the same whole, byte by byte and in random pieces; the real program answers the example and goes on serving (process.gateway).

--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -13,6 +13,8 @@
 struct http_header {
     std::string name;
     std::string value;
+
+    friend bool operator==(const http_header&, const http_header&) = default;
 };
 
 /// Header fields in the order received; names are case-insensitive.
--- a/include/agatespar/http/message_reader.h
+++ b/include/agatespar/http/message_reader.h
@@ -23,7 +23,8 @@
     std::function<void(std::string_view bytes)> body;
 };
 
-/// Parses one message; bytes after its end stay in the caller's buffer. Ambiguous framing is malformed (RFC 9112,
+/// Parses one message; bytes after its end stay in the caller's buffer. The result is the same however the bytes are
+/// divided among calls. Ambiguous framing is malformed (RFC 9112,
 /// section 6.3), which prevents request smuggling.
 template <class Head>
 class message_reader {
@@ -46,6 +47,11 @@
     bool is_done() const;
 
 private:
+    /// @return how many of the unparsed bytes the parser may be given.
+    std::size_t parsable_bytes(std::string_view bytes) const;
+    /// @return whether a head, or the header of a chunk with the trailers, is longer than allowed.
+    bool exceeds_header_limit(std::size_t unparsed) const;
+
     struct impl;
     std::unique_ptr<impl> impl_;
 };
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+#include <limits>
 #include <type_traits>
 
 namespace agatespar {
@@ -37,7 +39,8 @@
     impl(const message_limits& limits, message_callbacks<Head> given)
         : callbacks(std::move(given)), header_bytes(limits.header_bytes)
     {
-        this->header_limit(limits.header_bytes);
+        // The reader itself limits the size of heads, independently of how they are divided.
+        this->header_limit(std::numeric_limits<std::uint32_t>::max());
         this->body_limit(limits.body_bytes);
         this->eager(true);
     }
@@ -60,18 +63,12 @@
         }
     }
     void on_field_impl(beast::http::field /*known*/, beast::string_view name, beast::string_view value,
-                       error_type& error) override
+                       error_type& /*error*/) override
     {
         if (!head_done) {
             head.headers.push_back({std::string{name.data(), name.size()}, std::string{value.data(), value.size()}});
-            return;
-        }
-        // Trailers arrive after the head was passed to the callback. Nothing here needs them, so they are dropped. The
-        // parser's header limit does not count them.
-        trailer_bytes += name.size() + value.size();
-        if (trailer_bytes > header_bytes) {
-            error = beast::http::error::header_limit;
         }
+        // Trailers arrive after the head was passed to the callback. Nothing here needs them, so they are dropped.
     }
     void on_header_impl(error_type& error) override
     {
@@ -95,11 +92,13 @@
         callbacks.body({bytes.data(), bytes.size()});
         return bytes.size();
     }
-    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/, error_type& /*error*/) override
+    void on_chunk_header_impl(std::uint64_t size, beast::string_view /*extensions*/, error_type& /*error*/) override
     {
+        chunk_bytes_left = size;
     }
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, beast::string_view bytes, error_type& /*error*/) override
     {
+        chunk_bytes_left -= bytes.size();
         callbacks.body({bytes.data(), bytes.size()});
         return bytes.size();
     }
@@ -110,9 +109,38 @@
     int version{http_1_1};
     bool head_done{false};
     std::uint32_t header_bytes;
-    std::size_t trailer_bytes{0};
+    /// Bytes of the head that have been parsed.
+    std::size_t head_bytes{0};
+    /// Bytes of the current chunk that have not been parsed; 0 at the header of a chunk.
+    std::uint64_t chunk_bytes_left{0};
 };
 
+/// Divides the bytes for the parser, so that the result does not depend on how they arrived. The parser reports an
+/// error in an unfinished line only if it gets the line in one piece.
+/// @param head the unparsed bytes of a head. @param size how many of them may be given to the parser: those that the
+/// limit leaves.
+/// @return the number of bytes up to the end of the head, or of the last complete line before; 0 if there is none.
+static std::size_t complete_head_lines(std::string_view head, std::size_t size)
+{
+    static constexpr std::string_view line_end = "\r\n";
+    const std::string_view allowed = head.substr(0, size);
+    if (allowed.starts_with(line_end)) {
+        return line_end.size();
+    }
+    if (const std::size_t end = allowed.find("\r\n\r\n"); end != std::string_view::npos) {
+        return end + 2 * line_end.size();
+    }
+    // A line may be continued on the next one, which the first character there tells.
+    for (std::size_t end = allowed.rfind(line_end); end != std::string_view::npos && end > 0;
+         end = allowed.rfind(line_end, end - 1)) {
+        const std::size_t next = end + line_end.size();
+        if (next < allowed.size() && allowed[next] != ' ' && allowed[next] != '\t') {
+            return next + 1;
+        }
+    }
+    return 0;
+}
+
 template <class Head>
 message_reader<Head>::message_reader(const message_limits& limits, message_callbacks<Head> callbacks)
     : impl_(std::make_unique<impl>(limits, std::move(callbacks)))
@@ -142,31 +170,71 @@
     return failure(error_code::malformed, error.message());
 }
 
+template <class Head>
+std::size_t message_reader<Head>::parsable_bytes(std::string_view bytes) const
+{
+    // The shortest end of a chunked body.
+    static constexpr std::size_t last_chunk_bytes = std::string_view{"0\r\n\r\n"}.size();
+    if (!impl_->is_header_done()) {
+        return complete_head_lines(bytes, impl_->header_bytes - impl_->head_bytes);
+    }
+    if (!impl_->chunked()) {
+        return bytes.size();
+    }
+    if (impl_->chunk_bytes_left == 0 && bytes.size() < last_chunk_bytes) {
+        // The parser requires that many bytes to continue with a last chunk.
+        return 0;
+    }
+    // The header of a chunk must end within the limit, counted from its start.
+    const std::uint64_t in_chunk = std::min<std::uint64_t>(bytes.size(), impl_->chunk_bytes_left);
+    return static_cast<std::size_t>(std::min<std::uint64_t>(bytes.size(), in_chunk + impl_->header_bytes));
+}
+
+template <class Head>
+bool message_reader<Head>::exceeds_header_limit(std::size_t unparsed) const
+{
+    if (!impl_->is_header_done()) {
+        return impl_->head_bytes + unparsed >= impl_->header_bytes;
+    }
+    const bool at_chunk_header = impl_->chunked() && impl_->chunk_bytes_left == 0;
+    return at_chunk_header && unparsed >= impl_->header_bytes;
+}
+
 template <class Head>
 outcome<void> message_reader<Head>::feed(std::string& input)
 {
-    while (!input.empty() && !impl_->is_done()) {
+    std::size_t parsed = 0;
+    outcome<void> result;
+    while (result && parsed < input.size() && !impl_->is_done()) {
+        const std::string_view rest = std::string_view{input}.substr(parsed);
+        const std::size_t size = parsable_bytes(rest);
+        const bool in_head = !impl_->is_header_done();
         beast::error_code error;
-        const std::size_t taken = impl_->put(boost::asio::buffer(input.data(), input.size()), error);
-        input.erase(0, taken);
-        outcome<void> result = to_outcome(error);
-        if (!result) {
-            return result;
+        const std::size_t taken = size == 0 ? 0 : impl_->put(boost::asio::buffer(rest.data(), size), error);
+        parsed += taken;
+        impl_->head_bytes += in_head ? taken : 0;
+        result = to_outcome(error);
+        // Of the lines that it was given, the parser leaves the first character of the next one only.
+        if (result && in_head && !impl_->is_header_done() && size > taken + 1) {
+            result = failure(error_code::malformed, "an incomplete line in the head");
         }
         if (taken == 0) {
             break;
         }
     }
-    if (!impl_->is_done() && input.size() > impl_->header_bytes) {
-        // An unterminated line, such as a chunk's size or extension, which the parser's limits do not count.
+    input.erase(0, parsed);
+    if (result && !impl_->is_done() && exceeds_header_limit(input.size())) {
         return failure(error_code::too_large, "header");
     }
-    return {};
+    return result;
 }
 
 template <class Head>
 outcome<void> message_reader<Head>::feed_end()
 {
+    if (!impl_->got_some()) {
+        return failure(error_code::malformed, "the connection ended before a message");
+    }
     beast::error_code error;
     impl_->put_eof(error);
     return to_outcome(error);
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -876,6 +876,20 @@
                    "the request to end")
         self.assertEqual(self.log_lines("vm-1", "request_ended")[-1]["outcome"], "left")
 
+    # Guards against a valid request that ends the process, and with it the requests of all other clients.
+    def test_an_empty_chunked_body_in_two_pieces_is_answered_and_the_process_goes_on(self):
+        host, port = self.entry["front"].split(":")
+        with socket.create_connection((host, int(port)), timeout=5) as client:
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client.sendall(b"POST /nowhere HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n")
+            time.sleep(0.05)
+            client.sendall(b"\r")
+            time.sleep(0.05)
+            client.sendall(b"\n")
+            self.assertIn(client.recv(4096).split(b" ")[1], (b"401", b"404"))
+        # The VM has one process, which nothing restarts.
+        self.assertEqual(self.fetch("safe")[1], 200)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
+
 using namespace agatespar;
 
 namespace {
@@ -50,6 +52,170 @@
     CHECK(read.rest == "GET / HTTP/1.1\r\n");
 }
 
+// Guards against a valid request, or an answer of a server, that ends the process: the parser asserts that it has been
+// given five bytes when it continues with a last chunk.
+SCENARIO("an empty chunked body is read however its last chunk is divided")
+{
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string end = GENERATE("0\r\n\r\n", "00\r\n\r\n", "0;x=1\r\n\r\n", "0\r\nX-Late: 1\r\n\r\n");
+    for (std::size_t piece = 1; piece <= end.size(); ++piece) {
+        CAPTURE(end, piece);
+        const read_result whole_head = read_in_pieces(head + end, 1000);
+        CHECK(whole_head.done);
+        request_reader reader{{}, {[](const http_request_head&) {}, [](std::string_view) {}}};
+        std::string input = head;
+        REQUIRE(reader.feed(input));
+        for (std::size_t i = 0; i < end.size(); i += piece) {
+            input.append(end, i, piece);
+            REQUIRE(reader.feed(input));
+        }
+        CHECK(reader.is_done());
+        CHECK(input.empty());
+    }
+}
+
+namespace {
+
+/// All that a reader has told of some bytes and the end of their connection.
+template <class Head>
+struct reading {
+    std::optional<Head> head;
+    std::string body;
+    std::optional<error_code> error;
+    bool done{false};
+    std::string rest;
+
+    bool operator==(const reading& other) const
+    {
+        const bool same_head =
+            head.has_value() == other.head.has_value() &&
+            (!head || (head->headers == other.head->headers && head->keep_alive == other.head->keep_alive));
+        // A body that ends with an error may have been delivered up to different bytes.
+        return same_head && error == other.error && done == other.done && (error || body == other.body) &&
+               (!done || rest == other.rest);
+    }
+};
+
+/// Writes messages that are mostly valid, with damage of the kinds that distinguish parsers.
+struct message_writer {
+    std::mt19937_64 random;
+
+    std::size_t draw(std::size_t below) { return random() % below; }
+    std::string pick(std::initializer_list<const char*> choices) { return *(choices.begin() + draw(choices.size())); }
+
+    std::string write_chunks()
+    {
+        std::string text;
+        for (std::size_t count = draw(4); count > 0; --count) {
+            text += pick({"1\r\na\r\n", "3;x=y\r\nabc\r\n", "00002\r\nde\r\n", "A\r\n0123456789\r\n", "2\r\nabc\r\n",
+                          "g\r\n", "1\na\n", "ffffffffffffffff\r\n", "3;x=\"a\r\nb\"\r\nabc\r\n"});
+        }
+        return text +
+               pick({"0\r\n\r\n", "0\r\n\r\n", "00;x\r\n\r\n", "0\r\nX: y\r\n\r\n", "0\r\nX: y\r\n z\r\nW: v\r\n\r\n",
+                     "0\r\nContent-Length: 3\r\n\r\n", "0\r\n", "0\r", "0 \r\n\r\n", "0\r\nX\r\n\r\n"});
+    }
+    std::string write(bool request)
+    {
+        std::string text =
+            request
+                ? pick({"POST /a HTTP/1.1\r\n", "GET / HTTP/1.1\r\n", "PUT /b?c HTTP/1.0\r\n", "POST  /a HTTP/1.1\r\n",
+                        "\r\nGET / HTTP/1.1\r\n", "GET / HTTP/2.0\r\n", "GET /\x01 HTTP/1.1\r\n"})
+                : pick({"HTTP/1.1 200 OK\r\n", "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 100 Continue\r\n",
+                        "HTTP/1.0 500 \r\n", "HTTP/1.1 2000 OK\r\n", "HTTP/1.1 200\r\n", "ICY 200 OK\r\n"});
+        for (std::size_t count = draw(4); count > 0; --count) {
+            text += pick({"Host: a\r\n", "X-A: b\r\n", "X-Fold: a\r\n b\r\n", "Connection: close\r\n", "X-Empty:\r\n",
+                          "X-Long: 0123456789012345678901234567890123456789\r\n", "Bad Name: x\r\n", "X: \x01\r\n",
+                          "NoColon\r\n", "X-Lf: a\n"});
+        }
+        const std::size_t framing = draw(4);
+        if (framing == 0) {
+            return text + "Transfer-Encoding: chunked\r\n\r\n" + write_chunks() + pick({"", "GET / HTTP/1.1\r\n"});
+        }
+        text += framing == 1 ? pick({"Content-Length: 5\r\n", "Content-Length: 0\r\n", "Content-Length: 5, 5\r\n",
+                                     "Content-Length: 900\r\n", "Content-Length: x\r\n"})
+                             : pick({"", "", "Transfer-Encoding: identity\r\n"});
+        return text + "\r\n" + pick({"", "hello", "hello, and more"});
+    }
+    void damage(std::string& text)
+    {
+        for (std::size_t count = draw(3); count > 0 && !text.empty(); --count) {
+            const std::size_t position = draw(text.size());
+            switch (draw(3)) {
+            case 0:
+                text.erase(position, 1 + draw(4));
+                break;
+            case 1:
+                text.insert(position, pick({"\r", "\n", "\r\n", " ", "\t", ":", "0", std::string(1, '\0').c_str()}));
+                break;
+            default:
+                text[position] = static_cast<char>(draw(256));
+                break;
+            }
+        }
+    }
+};
+
+} // namespace
+
+template <class Head>
+static reading<Head> read_divided(const std::string& bytes, const std::function<std::size_t()>& next_size)
+{
+    message_limits limits;
+    limits.header_bytes = 120;
+    limits.body_bytes = 40;
+    reading<Head> read;
+    message_reader<Head> reader{limits,
+                                {[&read](Head head) { read.head = std::move(head); },
+                                 [&read](std::string_view body) { read.body.append(body); }}};
+    std::string input;
+    outcome<void> result;
+    for (std::size_t i = 0; i < bytes.size() && result && !reader.is_done();) {
+        const std::size_t size = std::min(next_size(), bytes.size() - i);
+        input.append(bytes, i, size);
+        i += size;
+        result = reader.feed(input);
+        if (reader.is_done()) {
+            read.rest = input + bytes.substr(i);
+        }
+    }
+    if (result && !reader.is_done()) {
+        result = reader.feed_end();
+    }
+    read.done = reader.is_done();
+    read.error = result ? std::nullopt : std::optional{result.error().code};
+    return read;
+}
+
+template <class Head>
+static void check_divisions(message_writer& writer, const std::string& bytes)
+{
+    const auto whole = read_divided<Head>(bytes, [] { return std::size_t{100000}; });
+    const auto single = read_divided<Head>(bytes, [] { return std::size_t{1}; });
+    const auto divided = read_divided<Head>(bytes, [&writer] { return 1 + writer.draw(9); });
+    CAPTURE(bytes, whole.done, single.done, divided.done);
+    CHECK(whole == single);
+    CHECK(whole == divided);
+}
+
+// Guards against bytes that end the process, or that mean one thing in one packet and another in two.
+SCENARIO("what a reader makes of any bytes does not depend on how they are divided")
+{
+    const int seed = GENERATE(range(1, 21));
+    CAPTURE(seed);
+    message_writer writer{std::mt19937_64{static_cast<std::uint64_t>(seed)}};
+    for (int i = 0; i < 500; ++i) {
+        const bool is_request = writer.draw(2) == 0;
+        std::string bytes = writer.write(is_request);
+        writer.damage(bytes);
+        if (is_request) {
+            check_divisions<http_request_head>(writer, bytes);
+        }
+        else {
+            check_divisions<http_answer_head>(writer, bytes);
+        }
+    }
+}
+
 SCENARIO("chunks are joined, and trailers are dropped")
 {
     const read_result read = read_in_pieces("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
