--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -545,7 +545,9 @@
             CHECK((is_deleted ? found->second > offset : found->second >= offset));
             continue;
         }
-        const auto is_later_deletion = [&](const keyed_record& record) { return record.key == key && !record.value; };
+        const auto is_later_deletion = [&wanted = key](const keyed_record& record) {
+            return record.key == wanted && !record.value;
+        };
         CHECK(std::any_of(topic.log.begin() + static_cast<std::ptrdiff_t>(offset), topic.log.end(), is_later_deletion));
     }
 }
