--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -238,8 +238,8 @@
     extend_to(end, records);
 }
 
-/// Applies the changes from `next_offset_` to an end. All of them enter the history, also those that the pages of newest
-/// records or a snapshot of another VM held already: VMs that are supplied from the history have not seen these.
+/// Applies the changes from `next_offset_` to an end. All of them enter the history, also those that the pages of
+/// newest records or a snapshot of another VM held already: VMs that are supplied from the history have not seen these.
 /// @param records all changes between the two offsets, in the order of their offsets; they may start earlier.
 void topic_follower::extend_to(std::uint64_t end, const std::vector<keyed_record>& records)
 {
--- a/unittests/frontend/http_server_test.cpp
+++ b/unittests/frontend/http_server_test.cpp
@@ -6,6 +6,35 @@
 using namespace agatespar;
 using namespace agatespar::test;
 
+namespace {
+
+/// A server that answers each request and keeps its path, and a client with one connection.
+struct recording_server {
+    glib_event_loop loop;
+    std::vector<std::string> paths;
+    std::unique_ptr<http_server> server;
+    raw_peer client;
+
+    recording_server()
+    {
+        http_server_settings settings;
+        settings.listen_address = "127.0.0.1:0";
+        auto opened = http_server::open(loop, settings, [this](const std::shared_ptr<http_exchange>& exchange) {
+            paths.push_back(exchange->path());
+            exchange->respond(200, "text/plain", "ran");
+        });
+        REQUIRE(opened);
+        server = std::move(*opened);
+        client.connect(loop, server->address());
+    }
+    void wait_for_end()
+    {
+        run_until(loop, [this] { return client.ended.has_value(); });
+    }
+};
+
+} // namespace
+
 // Guards against running the text in the body of a request as a request of its own.
 SCENARIO("the product's own interface refuses a request that cannot be delimited, and reads nothing after it")
 {
@@ -17,42 +46,22 @@
         "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "Content-Length: 5\r\nContent-Length: 6\r\n",
         "Content-Length: 5, 6\r\n", "Content-Length: +5\r\n", "Content-Length: 5x\r\n");
     CAPTURE(framing);
-    glib_event_loop loop;
-    std::vector<std::string> paths;
-    http_server_settings settings;
-    settings.listen_address = "127.0.0.1:0";
-    auto server = http_server::open(loop, settings, [&paths](const std::shared_ptr<http_exchange>& exchange) {
-        paths.push_back(exchange->path());
-        exchange->respond(200, "text/plain", "ran");
-    });
-    REQUIRE(server);
-    raw_peer client;
-    client.connect(loop, (*server)->address());
-    client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\n" + framing +
-                         "\r\nPOST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
-    run_until(loop, [&client] { return client.ended.has_value(); });
-    CAPTURE(client.received);
-    CHECK(paths.empty());
-    CHECK((client.received.starts_with("HTTP/1.1 400 ") || client.received.starts_with("HTTP/1.1 501 ")));
+    recording_server test;
+    test.client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\n" + framing +
+                              "\r\nPOST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    test.wait_for_end();
+    CAPTURE(test.client.received);
+    CHECK(test.paths.empty());
+    CHECK((test.client.received.starts_with("HTTP/1.1 400 ") || test.client.received.starts_with("HTTP/1.1 501 ")));
 }
 
 SCENARIO("nothing is read after a request that should have a body and whose length could not be read")
 {
-    glib_event_loop loop;
-    std::vector<std::string> paths;
-    http_server_settings settings;
-    settings.listen_address = "127.0.0.1:0";
-    auto server = http_server::open(loop, settings, [&paths](const std::shared_ptr<http_exchange>& exchange) {
-        paths.push_back(exchange->path());
-        exchange->respond(200, "text/plain", "ran");
-    });
-    REQUIRE(server);
-    raw_peer client;
-    client.connect(loop, (*server)->address());
-    client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\n"
-                         "POST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
-    run_until(loop, [&client] { return client.ended.has_value(); });
-    CHECK(paths == std::vector<std::string>{"/order"});
+    recording_server test;
+    test.client.stream->write("POST /order HTTP/1.1\r\nHost: a\r\nContent-Length : 5\r\n\r\n"
+                              "POST /inside HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    test.wait_for_end();
+    CHECK(test.paths == std::vector<std::string>{"/order"});
 }
 
 // Guards against a timer of a request that libsoup has refused and freed: it ended the process 20 s later.
