Give classes, groups and round trips of a roll-out one home each

Read of the change as a newcomer would. class_at stood in version_comparison as a copy of the one in version_guard; both use the one in routing/indices.h now. A request looked its zone's round trip up in two places, and built a whole observation to learn the name of its group when it was sent. The reader passed a limit where it can pass the limited bytes. The name of a tag that no test has is out of the test filter.

--- a/cmake/AgatesparPart.cmake
+++ b/cmake/AgatesparPart.cmake
@@ -52,7 +52,7 @@
   target_include_directories(unittest_${part} PRIVATE ${CMAKE_SOURCE_DIR}/unittests)
   set_target_properties(unittest_${part} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
   agatespar_set_options(unittest_${part})
-  add_test(NAME unit.${part} COMMAND unittest_${part} "~[scale]~[scale-faults]~[slow-hides-failures]")
+  add_test(NAME unit.${part} COMMAND unittest_${part} "~[scale]~[scale-faults]")
   set_tests_properties(unit.${part} PROPERTIES LABELS unit)
 endfunction()
 
--- a/include/agatespar/routing/indices.h
+++ b/include/agatespar/routing/indices.h
@@ -22,6 +22,12 @@
 /// A request class of a fleet, e.g. lookups, questions or long drafts.
 using class_index = strong<struct class_index_tag, std::uint8_t>;
 
+/// @return the class at a position below max_classes.
+constexpr class_index class_at(std::size_t position)
+{
+    return class_index{static_cast<std::uint8_t>(position)};
+}
+
 inline constexpr std::size_t max_versions = 64;
 inline constexpr std::size_t max_models = 32;
 inline constexpr std::size_t max_classes = 16;
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -110,7 +110,9 @@
     void record_if_slow();
     /// Schedules record_if_slow() for when the answer has taken too long to begin.
     void schedule_slow_check();
+    std::optional<duration> zone_round_trip() const;
     std::optional<duration> network_time() const;
+    std::string answer_group() const;
 
     /// Retries on another server if the route, the number of runs, the remaining time and the retry budget permit it.
     /// @return whether a retry was scheduled.
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -273,6 +273,13 @@
     answer_error(progress_ == progress::nothing_ran ? 503 : 502, reason);
 }
 
+/// @return the usual round trip to servers of the zone that the request was sent to, or nothing while none is known.
+std::optional<duration> transparent_request::zone_round_trip() const
+{
+    const auto known = owner_.round_trips_.find(server_->record.zone);
+    return known == owner_.round_trips_.end() ? std::nullopt : median(known->second.times);
+}
+
 /// @return the part of the time to the first byte that the network takes, or nothing while it is not known: a round
 /// trip, and one more to open a connection.
 std::optional<duration> transparent_request::network_time() const
@@ -281,8 +288,13 @@
         const auto round_trip = call_->connect_time();
         return round_trip ? std::optional{2 * *round_trip} : std::nullopt;
     }
-    const auto known = owner_.round_trips_.find(server_->record.zone);
-    return known == owner_.round_trips_.end() ? std::nullopt : median(known->second.times);
+    return zone_round_trip();
+}
+
+/// @return the group of answers that take times like this one's.
+std::string transparent_request::answer_group() const
+{
+    return route_->name.value() + "/" + (model_ ? model_->value() : "");
 }
 
 observed_answer transparent_request::describe_observed(const rollout_watch& watch, bool good) const
@@ -290,7 +302,7 @@
     observed_answer answer;
     answer.by_target = server_->record.version == watch.order().target;
     answer.route = route_->name.value();
-    answer.group = route_->name.value() + "/" + (model_ ? model_->value() : "");
+    answer.group = answer_group();
     answer.good = good;
     const duration elapsed = head_.status != 0 ? first_byte_ : owner_.loop_.time().now() - attempt_started_at_;
     const auto network = network_time();
@@ -340,18 +352,19 @@
     if (watch == nullptr || watch->state() != rollout_state::in_progress) {
         return;
     }
-    const auto limit = watch->first_byte_limit(describe_observed(*watch, true).group);
-    const auto round_trips = owner_.round_trips_.find(server_->record.zone);
-    if (!limit || round_trips == owner_.round_trips_.end()) {
+    const auto limit = watch->first_byte_limit(answer_group());
+    const auto round_trip = zone_round_trip();
+    if (!limit || !round_trip) {
         return;
     }
-    const duration network = 2 * *median(round_trips->second.times);
-    slow_timer_ = owner_.loop_.schedule(*limit + network + std::chrono::milliseconds{1}, [self = shared_from_this()] {
-        self->slow_timer_.reset();
-        if (self->head_.status == 0) {
-            self->record_if_slow();
-        }
-    });
+    // A new connection takes one more.
+    slow_timer_ =
+        owner_.loop_.schedule(*limit + 2 * *round_trip + std::chrono::milliseconds{1}, [self = shared_from_this()] {
+            self->slow_timer_.reset();
+            if (self->head_.status == 0) {
+                self->record_if_slow();
+            }
+        });
 }
 
 } // namespace agatespar
--- a/lib/gateway/version_comparison.cpp
+++ b/lib/gateway/version_comparison.cpp
@@ -13,11 +13,6 @@
 // Intervals that the window is divided into: its effective length is off by one interval at most.
 static constexpr int window_intervals = 10;
 
-static class_index class_at(std::size_t index)
-{
-    return class_index{static_cast<std::uint8_t>(index)};
-}
-
 version_comparison::version_comparison(const guard_settings& settings, std::size_t classes, std::uint64_t own_id,
                                        std::chrono::milliseconds window)
     : window_(window), counts_(boot_id{own_id}, versions, classes), guard_(settings, target_index, others_index)
--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -117,24 +117,22 @@
 
 /// Divides the bytes for the parser, so that the result does not depend on how they arrived. The parser reports an
 /// error in an unfinished line only if it gets the line in one piece.
-/// @param head the unparsed bytes of a head. @param size how many of them may be given to the parser: those that the
-/// limit leaves.
+/// @param head the unparsed bytes of a head, as far as the limit leaves them.
 /// @return the number of bytes up to the end of the head, or of the last complete line before; 0 if there is none.
-static std::size_t complete_head_lines(std::string_view head, std::size_t size)
+static std::size_t complete_head_lines(std::string_view head)
 {
     static constexpr std::string_view line_end = "\r\n";
-    const std::string_view allowed = head.substr(0, size);
-    if (allowed.starts_with(line_end)) {
+    if (head.starts_with(line_end)) {
         return line_end.size();
     }
-    if (const std::size_t end = allowed.find("\r\n\r\n"); end != std::string_view::npos) {
+    if (const std::size_t end = head.find("\r\n\r\n"); end != std::string_view::npos) {
         return end + 2 * line_end.size();
     }
     // A line may be continued on the next one, which the first character there tells.
-    for (std::size_t end = allowed.rfind(line_end); end != std::string_view::npos && end > 0;
-         end = allowed.rfind(line_end, end - 1)) {
+    for (std::size_t end = head.rfind(line_end); end != std::string_view::npos && end > 0;
+         end = head.rfind(line_end, end - 1)) {
         const std::size_t next = end + line_end.size();
-        if (next < allowed.size() && allowed[next] != ' ' && allowed[next] != '\t') {
+        if (next < head.size() && head[next] != ' ' && head[next] != '\t') {
             return next + 1;
         }
     }
@@ -176,7 +174,7 @@
     // The shortest end of a chunked body.
     static constexpr std::size_t last_chunk_bytes = std::string_view{"0\r\n\r\n"}.size();
     if (!impl_->is_header_done()) {
-        return complete_head_lines(bytes, impl_->header_bytes - impl_->head_bytes);
+        return complete_head_lines(bytes.substr(0, impl_->header_bytes - impl_->head_bytes));
     }
     if (!impl_->chunked()) {
         return bytes.size();
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -145,7 +145,9 @@
     if (by_reset) {
         stream_->reset();
     }
-    stream_->close();
+    else {
+        stream_->close();
+    }
     unregister();
 }
 
--- a/lib/routing/version_guard.cpp
+++ b/lib/routing/version_guard.cpp
@@ -27,11 +27,6 @@
 {
 }
 
-static class_index class_at(std::size_t index)
-{
-    return class_index{static_cast<std::uint8_t>(index)};
-}
-
 /// @return an upper bound of the share of bad answers of a version that is as good as the incumbent.
 static double tolerated_bad_share(const answer_tally& incumbent, double tolerance)
 {
