--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -1,6 +1,7 @@
 // An HTTP server based on libsoup, with limits on the size of requests and on unread response data.
+#include "request_framing.h"
+
 #include <agatespar/frontend/http_server.h>
-#include <agatespar/http/message.h>
 #include <agatespar/kernel/event_loop.h>
 
 #include <libsoup/soup.h>
@@ -287,43 +288,6 @@
     }
 }
 
-/// @return whether the head tells where the request ends (RFC 9112, section 6.3). libsoup takes the last one of several
-/// fields, and one of a length and a transfer encoding, so another reader may see another end.
-static bool is_delimited(SoupServerMessage* message)
-{
-    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-    const char* encoding = soup_message_headers_get_list(headers, "Transfer-Encoding");
-    const char* length = soup_message_headers_get_list(headers, "Content-Length");
-    if (encoding == nullptr) {
-        return length == nullptr || parse_number(length);
-    }
-    return length == nullptr && equal_without_case(encoding, "chunked") &&
-           soup_server_message_get_http_version(message) != SOUP_HTTP_1_0;
-}
-
-/// @return whether the head of a request that should have a body has no field that delimits it. libsoup drops malformed
-/// fields without notice, such as a length whose name is followed by a blank.
-static bool lacks_length(SoupServerMessage* message)
-{
-    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-    const std::string_view method = soup_server_message_get_method(message);
-    return (method == "POST" || method == "PUT" || method == "PATCH") &&
-           soup_message_headers_get_list(headers, "Transfer-Encoding") == nullptr &&
-           soup_message_headers_get_list(headers, "Content-Length") == nullptr;
-}
-
-/// Answers a request of which no further byte can be attributed, and closes its connection.
-static void refuse_undelimited(SoupServerMessage* message)
-{
-    static constexpr std::string_view answer =
-        "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    if (GSocket* socket = soup_server_message_get_socket(message); socket != nullptr) {
-        // A client that does not take these few bytes only sees the end of the connection.
-        g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
-        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-    }
-}
-
 void http_server::impl::handle_got_headers(SoupServerMessage* message, gpointer data)
 {
     auto* self = static_cast<impl*>(data);
