Replace a refusal that its server did not prove, where a request may run once at most

Callers saw: an order that a server had booked and then answered with 503 came back as 503, which promises that the order has not run and never will.

Cause: 408, 421, 429 and 503 are promises about the request. The router's own were always derived from what it knew of each attempt; a server's failure was forwarded as it came, with whatever status it had. Only the server's proof, for the request that the answer names, allows such a status, and an answer with that proof never got to this path.

Ruled out by reading: each of the router's own 503 rests on `progress`. The log told a server's 503 from the router's own by the reason "answered" only, and counted both as refused, so the line now has the status of each attempt and the outcome tells them apart.

Change: on routes whose requests may run once at most, the router answers 502, which promises nothing, with no seal and no Retry-After and with a body that names the cause (as all of its own errors now have). This is why it works: every status that promises now comes from `progress` or from a proof.

--- a/include/agatespar/gateway/request_report.h
+++ b/include/agatespar/gateway/request_report.h
@@ -30,6 +30,8 @@
     std::optional<std::chrono::milliseconds> first_byte;
     /// Complete events that the server sent, if the answer is a stream.
     std::size_t events{0};
+    /// Status of the server's answer; 0 if none came.
+    int status{0};
     /// "answered", or the reason why the attempt ended without a complete answer.
     std::string outcome;
 };
@@ -43,6 +45,8 @@
     request_kind kind{request_kind::safe};
     /// Status of the final answer; 0 if the answer was aborted or the client disconnected.
     int status{0};
+    /// The answer is a server's; otherwise it is the router's own.
+    bool is_forwarded{false};
     std::string reason;
     service_map_version configuration;
     std::chrono::milliseconds goal{0};
@@ -52,15 +56,16 @@
     std::vector<attempt_report> attempts;
 };
 
-/// @return the outcome of a request, a metric label: "answered", "late" (first byte after the goal), "refused" (status
-/// 429 or 503), "failed" (other 5xx), "rejected" (other status), "broken" (answer aborted) or "left" (client
-/// disconnected).
+/// @return the outcome of a request, a metric label: "answered", "late" (first byte after the goal), "refused" (the
+/// router's own status 503), "failed" (other 5xx, or a server's status that says without proof that the request was not
+/// run), "rejected" (other status), "broken" (answer aborted) or "left" (client disconnected).
 std::string_view outcome_of(const request_report& report);
 
 /// @return the attempts in the compact form of the log line, e.g.
 /// "i-1 v1 m0 load 3/48 age 120 heard 80 of 17 left 2000: answered 70 ms": server, version, model, load and slots, age
 /// of the load report, time since the last contact or "never", number of candidates, time left, outcome, and duration.
-/// A stream that has begun adds ", first 20 ms, 12 events". All times are in milliseconds.
+/// A stream that has begun adds ", first 20 ms, 12 events", a status other than 2xx ", status 500". All times are in
+/// milliseconds.
 std::string describe_attempts(const std::vector<attempt_report>& attempts);
 
 /// Updates the metrics and writes the log line: at severity debug if the request was answered in time, otherwise info.
--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -57,6 +57,12 @@
 {
     return status >= 500;
 }
+/// @return whether a status tells the client that its request was not run and never will be, so that clients repeat any
+/// request after it: 408, 421, 429 or 503 (RFC 9110, sections 15.5.9, 15.5.20 and 15.6.4; RFC 6585, section 4).
+constexpr bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
 
 /// @return whether a field applies to a single connection and is not forwarded: the fields of RFC 9110, section 7.6.1,
 /// the fields that the message's Connection field lists, and the framing, which the router writes itself.
--- a/lib/gateway/request_report.cpp
+++ b/lib/gateway/request_report.cpp
@@ -4,8 +4,6 @@
 
 namespace agatespar {
 
-static constexpr int status_too_many = 429;
-static constexpr int status_unavailable = 503;
 static constexpr std::string_view client_disconnected_reason = "the client left";
 
 std::string_view outcome_of(const request_report& report)
@@ -16,8 +14,8 @@
     if (is_success(report.status)) {
         return report.goal.count() > 0 && report.first_byte > report.goal ? "late" : "answered";
     }
-    if (report.status == status_unavailable || report.status == status_too_many) {
-        return "refused";
+    if (promises_not_run(report.status)) {
+        return report.is_forwarded ? "failed" : "refused";
     }
     return is_server_failure(report.status) ? "failed" : "rejected";
 }
@@ -52,6 +50,9 @@
             text += ", first " + std::to_string(attempt.first_byte->count()) + " ms, ";
             text += std::to_string(attempt.events) + " events";
         }
+        if (attempt.status != 0 && !is_success(attempt.status)) {
+            text += ", status " + std::to_string(attempt.status);
+        }
     }
     return text;
 }
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -190,7 +190,8 @@
         std::snprintf(seconds.data(), seconds.size(), "%.3f", static_cast<double>(delay) / 1000);
         head.headers.push_back({"Retry-After", seconds.data()});
     }
-    exchange_->answer(head, {});
+    head.headers.push_back({"Content-Type", "text/plain"});
+    exchange_->answer(head, std::string{reason} + "\n");
     finish(status, reason);
 }
 
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -119,6 +119,7 @@
     bool try_retry(retry_reason kind, const char* reason);
     /// @return whether the route and the limits on runs and sends permit another attempt.
     bool retry_permitted() const;
+    /// Forwards the server's answer, or replaces it if its status promises what the server did not prove.
     void deliver_buffered_answer();
     /// Answers with an error of the router's own and ends the request.
     /// @param retry_after with status 503, when the client may come again; without it, soon.
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -58,7 +58,9 @@
     const bool success = is_success(head.status);
     if (!success) {
         record_rollout_result(false);
-        if (is_server_failure(head.status) && try_retry(retry_reason::failure, "the server failed")) {
+        // A proven refusal doesn't get here, so a status that promises one is a failure of the server.
+        const bool is_failure = is_server_failure(head.status) || promises_not_run(head.status);
+        if (is_failure && try_retry(retry_reason::failure, "the server failed")) {
             return;
         }
         is_streaming_ = false;
@@ -179,6 +181,12 @@
 
 void transparent_request::deliver_buffered_answer()
 {
+    // The client would repeat a request that may have run.
+    if (promises_not_run(head_.status) && !is_safe_to_retry(*route_)) {
+        answer_error(502, "the server refused the request, with no proof that it did not run");
+        return;
+    }
+    report_.is_forwarded = true;
     http_answer_head forwarded = head_;
     std::erase_if(forwarded.headers,
                   [this](const http_header& header) { return is_hop_by_hop(head_.headers, header.name); });
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -186,6 +186,7 @@
         attempt.elapsed =
             std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - attempt_started_at_);
         if (head_.status != 0) {
+            attempt.status = head_.status;
             attempt.first_byte = std::chrono::duration_cast<std::chrono::milliseconds>(first_byte_);
             attempt.events = events_.completed() - events_before_attempt_;
         }
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -1,6 +1,7 @@
 """Tests of transparent requests with real daemons, stand-ins of the store and of servers, and injected faults."""
 
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -30,6 +31,10 @@
 ROUTES["booking"] = {**ROUTES["unsafe"], "timeout_ms": 20000}
 # With this goal, clients tolerate two seconds without an event, and a started stream counts as stalled after one.
 ROUTES["brief"] = {**ROUTES["stream"], "goal_ms": 500}
+# A stream that must not be repeated.
+ROUTES["letter"] = {**ROUTES["stream"], "resumable": False}
+# A stream that uses up its attempts at two servers.
+ROUTES["memo"] = {**ROUTES["stream"], "attempts": 2}
 
 
 def service_map(version, keys=(KEY,), without=()):
@@ -448,12 +453,12 @@
                 return
 
 
-class WithScriptedServers(GatewayCase):
-    """The servers of each service are replaced by faulty ones."""
+class ScriptedServersCase(GatewayCase):
+    """The servers of each service can be replaced by faulty ones."""
 
     def setUp(self):
         super().setUp()
-        self.scripts = 0
+        self.scripted = []
 
     def use_script(self, script):
         """Adds two scripted servers for each service in place of all others."""
@@ -466,8 +471,8 @@
             for _ in range(2):
                 server = ScriptedServer(script)
                 self.addCleanup(server.listener.close)
-                self.scripts += 1
-                names.append(f"odd-{self.scripts}")
+                self.scripted.append(server)
+                names.append(f"odd-{len(self.scripted)}")
                 self.servers[names[-1]] = {"backend": service, "address": server.address, "zone": "hall-a",
                                            "version": "v1", "slots": 8, "cold_left_ms": 0}
                 self.publish_server(names[-1], "ready")
@@ -478,6 +483,10 @@
         return (f"HTTP/1.1 {status}\r\nX-Attempt-Id: {headers['X-Attempt-Id']}\r\n{seal}X-Confidence: 90\r\n"
                 f"Content-Type: text/event-stream\r\n{framing}\r\n").encode()
 
+
+class WithScriptedServers(ScriptedServersCase):
+    """Faulty servers answer in odd forms."""
+
     def fetch_raw(self, kind):
         """Sends one request and returns all bytes that come until the connection ends, at most for some seconds."""
         _, connection = self.send(kind, headers={"Connection": "close"})
@@ -533,6 +542,100 @@
                 self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
 
 
+class WithUnprovenRefusals(ScriptedServersCase):
+    """Servers run each request, then answer with a status that denies it, without the proof of a refusal."""
+
+    # To the client, each of these means that its request was not run and never will be.
+    STATUSES = ("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable")
+    CLOSES = "Connection: close\r\n"
+    # The scripted servers close their connections after each answer, so they announce it.
+    FORMS = {
+        "complete": "X-Attempt-Id: {id}\r\nX-Runner-Seal: s.1\r\n{closes}Content-Length: 4\r\n\r\nfull",
+        "without the server's mark": "X-Attempt-Id: {id}\r\n{closes}Content-Length: 4\r\n\r\nfull",
+        "without an id": "X-Runner-Seal: s.1\r\n{closes}Content-Length: 4\r\n\r\nfull",
+        "with a time to return": "X-Attempt-Id: {id}\r\nX-Runner-Seal: s.1\r\nRetry-After: 1\r\n"
+                                 "{closes}Content-Length: 4\r\n\r\nfull",
+        "until the connection ends": "X-Attempt-Id: {id}\r\nX-Runner-Seal: s.1\r\n\r\nfull",
+        "in chunks": "X-Attempt-Id: {id}\r\nX-Runner-Seal: s.1\r\n{closes}Transfer-Encoding: chunked\r\n\r\n"
+                     "4\r\nfull\r\n0\r\n\r\n",
+        "with the name of the proof only": "X-Attempt-Id: {id}\r\nX-Runner-Seal: s.1\r\n"
+                                           "Connection: X-Not-Executed, close\r\nContent-Length: 4\r\n\r\nfull",
+    }
+
+    def setUp(self):
+        super().setUp()
+        self.write_settings("vm-1", retry_slack=1000)
+        wait_until(lambda: self.log_lines("vm-1", "settings_taken"), "the settings to be applied")
+
+    def refuse(self, headers):
+        """Answers with the status and in the form that the client's header fields name."""
+        text = self.FORMS[headers["Test-Form"]].format(id=headers["X-Attempt-Id"], closes=self.CLOSES)
+        return f"HTTP/1.1 {headers['Test-Status']}\r\n{text}".encode()
+
+    def check_each_answer(self, kind, check, **headers):
+        """Sends a request for each status and form. @param check called with status, form, and what fetch returns."""
+        for status, form in itertools.product(self.STATUSES, self.FORMS):
+            with self.subTest(kind=kind, status=status, form=form, **headers):
+                check(int(status[:3]), form,
+                      *self.fetch(kind, headers={"Test-Status": status, "Test-Form": form, **headers}))
+
+    def count_scripted_runs(self, identity):
+        return sum(server.runs.count(identity) for server in self.scripted)
+
+    def ended_line(self, identity):
+        """Returns the log line of a request. It is written after the answer has been sent."""
+        def lines():
+            return [line for line in self.log_lines("vm-1", "request_ended") if line["request"] == identity]
+
+        wait_until(lines, "the request's line")
+        self.assertEqual(len(lines()), 1)
+        return lines()[0]
+
+    # Guards against a second run of an order: a server's 503, passed on, tells the client that it may send it again.
+    def test_a_request_that_must_not_run_twice_gets_no_promise_that_its_server_did_not_prove(self):
+        def check(status, _, identity, answered, fields, text):
+            self.assertEqual(answered, 502)
+            self.assertEqual(self.count_scripted_runs(identity), 1)
+            self.assertFalse({"X-Runner-Seal", "Retry-After", "X-Not-Executed"} & set(fields), fields)
+            self.assertIn("no proof", text)
+            line = self.ended_line(identity)
+            self.assertEqual((line["status"], line["outcome"]), (502, "failed"))
+            self.assertIn("no proof", line["reason"])
+            self.assertIn(f"status {status}", line["attempts"])
+
+        self.use_script(self.refuse)
+        self.check_each_answer("unsafe", check)
+        self.check_each_answer("letter", check)
+        self.check_each_answer("letter", check, **{"Last-Event-Id": "2"})
+
+    # Guards against a failure for a request that another server can still answer.
+    def test_a_request_that_may_run_twice_goes_on_to_another_server(self):
+        def refuse_first(headers):
+            if self.count_scripted_runs(headers["X-Attempt-Id"]) == 1:
+                return self.refuse(headers)
+            return self.head(headers, framing=self.CLOSES + "Content-Length: 6\r\n") + b"a: b\n\n"
+
+        def check(_, form, identity, answered, fields, text):
+            self.assertEqual((answered, text), (200, "a: b\n\n"), self.ended_line(identity))
+            self.assertEqual(self.count_scripted_runs(identity), 2)
+
+        self.use_script(refuse_first)
+        self.check_each_answer("safe", check)
+        self.check_each_answer("brief", check)
+
+    # Guards against a replaced answer where the client may repeat its request after any failure.
+    def test_a_request_that_may_run_twice_gets_the_last_answer_unchanged(self):
+        def check(status, form, identity, answered, fields, text):
+            self.assertEqual((answered, text), (status, "full"))
+            self.assertEqual(fields.get("Retry-After"), "1" if form == "with a time to return" else None)
+            self.assertEqual("X-Runner-Seal" in fields, form != "without the server's mark")
+            self.assertEqual(self.ended_line(identity)["outcome"], "failed")
+
+        self.use_script(self.refuse)
+        self.check_each_answer("safe", check)
+        self.check_each_answer("memo", check)
+
+
 class RepeatingServer(FaultyServer):
     """A faulty server that runs each request, but first writes an earlier refusal once more on the connection."""
 
