Report a chat request as not run only if each server proved it

Callers saw: a chat request that another zone was running when its deadline passed failed with "ran": "not_run". Sent again, it ran and was billed twice. The reverse, too: a request that every server had refused with proof failed as outcome_unknown.

Cause: the state was derived from the number of this zone's attempts. A forwarded request has none while the other zone runs it, and a refused attempt counts like one that ran.

Change: a request remembers whether an attempt or a forward that has ended may have run, and one that is still open may. This is why it works: "not run" now needs the proof of each, which is what the state says. Plain-service calls had it already (service_run::may_have_run_).

--- a/lib/request/chat_run.cpp
+++ b/lib/request/chat_run.cpp
@@ -221,6 +221,12 @@
     dependencies_.explanations->add(request_.id, explain_as_sentence(result, explained, names));
 }
 
+run_state chat_run::run_state_so_far() const
+{
+    const bool may_run_now = attempt_ || forward_cancel_;
+    return may_have_run_ || may_run_now ? run_state::outcome_unknown : run_state::not_run;
+}
+
 void chat_run::forward(const decision& chosen)
 {
     ++dependencies_.counters->forwarded;
@@ -284,7 +290,10 @@
         fail(problem);
         return;
     }
-    attempts_ += problem.ran == run_state::not_run ? 0 : 1;
+    if (problem.ran != run_state::not_run) {
+        ++attempts_;
+        may_have_run_ = true;
+    }
     retry_or_fail(problem);
 }
 
--- a/lib/request/chat_run.h
+++ b/lib/request/chat_run.h
@@ -85,7 +85,8 @@
     void fail(const error& problem);
     void close();
     steady_time now() const { return dependencies_.loop->time().now(); }
-    run_state run_state_so_far() const { return attempts_ == 0 ? run_state::not_run : run_state::outcome_unknown; }
+    /// @return not_run if every attempt and forward so far has ended with the proof that it did not run.
+    run_state run_state_so_far() const;
 
     const chat_dependencies& dependencies_;
     chat_request request_;
@@ -113,6 +114,8 @@
     std::optional<steady_time> waiting_since_;
     bool is_waiting_{false};
     std::uint32_t attempts_{0};
+    /// An attempt or forward that has ended may have run.
+    bool may_have_run_{false};
     std::optional<running_attempt> attempt_;
     cancel_handle forward_cancel_;
     std::optional<version_id> answering_version_;
--- a/lib/request/chat_run_attempts.cpp
+++ b/lib/request/chat_run_attempts.cpp
@@ -176,6 +176,7 @@
 void chat_run::end_attempt(work_result result, const std::string& problem)
 {
     const bool succeeded = result == work_result::good;
+    may_have_run_ = may_have_run_ || result != work_result::refused;
     running_attempt ended = std::move(*attempt_);
     attempt_.reset();
     ended.cancel();
--- a/unittests/request/chat_service_test.cpp
+++ b/unittests/request/chat_service_test.cpp
@@ -222,6 +222,58 @@
     CHECK(path.bills.size() == 1);
 }
 
+// Guards against "not run" for a request that another zone runs, and against the contrary for one that all servers
+// refused: the state is derived from the number of attempts of this zone.
+SCENARIO("a failed request is reported as not run only if each server proved that")
+{
+    fake_request_path path;
+    const error refusal{error_code::overloaded, "the queue is full", run_state::not_run, std::nullopt};
+    const auto fail_attempts = [&path](const received_answer& answer, const std::vector<error>& problems) {
+        for (std::size_t i = 0; i < 40 && answer.end_count == 0; ++i) {
+            path.last().callbacks.on_error(problems[std::min(i, problems.size() - 1)]);
+            path.loop.advance(3s);
+        }
+    };
+    WHEN("each server refuses it")
+    {
+        const auto answer = path.send("strong");
+        fail_attempts(*answer, {refusal});
+        REQUIRE(answer->failure);
+        CHECK(path.attempts.size() > 1);
+        CHECK(answer->failure->ran == run_state::not_run);
+    }
+    WHEN("one server breaks its stream and all others refuse it")
+    {
+        const auto answer = path.send("strong");
+        fail_attempts(*answer, {broken_stream(), refusal});
+        REQUIRE(answer->failure);
+        CHECK(path.attempts.size() > 1);
+        CHECK(answer->failure->ran == run_state::outcome_unknown);
+    }
+    GIVEN("servers of another zone only")
+    {
+        path.table.apply_vm_list({});
+        other_zone remote;
+        remote.capacity = {{{path.pinned, std::nullopt}, 8}};
+        path.table.set_zone(zone_id{path.fleet, zone_name{"remote"}}, remote);
+        const auto answer = path.send("strong");
+        REQUIRE(path.forwards.size() == 1);
+        WHEN("the deadline passes while the other zone runs it")
+        {
+            path.loop.advance(31s);
+            REQUIRE(answer->failure);
+            CHECK(answer->failure->code == error_code::deadline_exceeded);
+            CHECK(answer->failure->ran == run_state::outcome_unknown);
+        }
+        WHEN("the other zone refuses it")
+        {
+            path.forwards[0].fail(refusal);
+            REQUIRE(answer->failure);
+            CHECK(answer->failure->ran == run_state::not_run);
+        }
+    }
+}
+
 SCENARIO("a refused request is reported as not run and starts no attempt")
 {
     fake_request_path path;
--- a/unittests/request/fake_request_path.h
+++ b/unittests/request/fake_request_path.h
@@ -53,6 +53,10 @@
         parts.engine.poll_load = [this](const std::string&, const load_callback& done) {
             loop.post([this, done] { done(next_report); });
         };
+        parts.forward = [this](const zone_id&, const chat_request&, duration, answer_sink sink) {
+            forwards.push_back(std::move(sink));
+            return cancel_handle{[] {}};
+        };
         parts.crashes = &crashes;
         parts.publish = [this](const gossip_item& item) { published.push_back(item); };
         parts.permits.acquire = [this](const server_id&, bool alone,
@@ -138,6 +142,8 @@
     std::unique_ptr<chat_service> service;
     cancel_handle stop;
     std::vector<std::unique_ptr<received_attempt>> attempts;
+    /// The sinks of the requests that were forwarded to another zone.
+    std::vector<answer_sink> forwards;
     std::vector<usage_record> bills;
     std::vector<rating_request> ratings;
     outcome<rating> next_rating{rating::good};
