Answer 429 and 503 at the product's own interface only to requests proved not to have run

Callers saw: a call that is not idempotent, whose server answered 503 or 429 without saying that it had not run it, failed as outcome_unknown in the body, but with status 503 or 429 and the server's Retry-After. Usual client libraries send a request again by themselves after these and don't read the body, so an order could run twice.

Cause: the status was chosen by the error's code, which says what went wrong, without `ran`, which says what is proven. The server's Retry-After was passed on in the same way.

Change: the status is chosen by the code and `ran`: 502 in place of 429 and 503 unless the request is proved not to have run. 502 promises nothing. Both entries use one function, promises_not_run. A call that is not idempotent and may have run gets no Retry-After of its server. This is why it works: no status that promises is left for an error whose `ran` is not "not_run".

--- a/include/agatespar/frontend/api_format.h
+++ b/include/agatespar/frontend/api_format.h
@@ -15,8 +15,9 @@
 /// invalid_argument, whose message names the wrong field.
 outcome<chat_request> parse_chat_request(std::string_view body);
 
-/// @return the HTTP status of an error.
-int http_status_of(error_code code);
+/// @return the HTTP status of an error. Statuses after which clients repeat a request, as it was not run
+/// (promises_not_run()), are given only to errors that prove this; other errors of the same code have status 502.
+int http_status_of(error_code code, run_state ran);
 
 /// @return an error as a JSON object with the fields code, message, ran, retry_after_ms and request_id.
 std::string format_error(const error& problem, const request_id& id);
--- a/lib/frontend/api_format.cpp
+++ b/lib/frontend/api_format.cpp
@@ -1,5 +1,6 @@
 // Parses and formats chat completions and errors as JSON.
 #include <agatespar/frontend/api_format.h>
+#include <agatespar/http/message.h>
 #include <agatespar/support/json.h>
 
 #include <nlohmann/json.hpp>
@@ -133,7 +134,8 @@
     return request;
 }
 
-int http_status_of(error_code code)
+/// @return the HTTP status of an error of a request that was not run.
+static int status_of_refusal(error_code code)
 {
     switch (code) {
     case error_code::invalid_argument:
@@ -165,6 +167,13 @@
     return 500;
 }
 
+int http_status_of(error_code code, run_state ran)
+{
+    constexpr int status_bad_gateway = 502;
+    const int status = status_of_refusal(code);
+    return ran != run_state::not_run && promises_not_run(status) ? status_bad_gateway : status;
+}
+
 static json error_object(const error& problem, const request_id& id)
 {
     json object{{"code", to_string(problem.code)},
--- a/lib/frontend/caller_api.cpp
+++ b/lib/frontend/caller_api.cpp
@@ -21,7 +21,7 @@
         exchange.set_header("Retry-After", std::to_string(seconds.count()));
     }
     exchange.set_header("X-Request-Id", id.value());
-    exchange.respond(http_status_of(problem.code), "application/json", format_error(problem, id));
+    exchange.respond(http_status_of(problem.code, problem.ran), "application/json", format_error(problem, id));
 }
 
 static outcome<client_account_id> authenticate(const caller_api_dependencies& dependencies,
--- a/lib/request/service_run.cpp
+++ b/lib/request/service_run.cpp
@@ -326,7 +326,12 @@
         dependencies_.claims->abandon(*claim_);
     }
     claim_.reset();
-    fail(answer.error());
+    error problem = answer.error();
+    if (may_have_run_) {
+        // The server's time to return would ask the caller to send the call again.
+        problem.retry_after.reset();
+    }
+    fail(std::move(problem));
 }
 
 void service_run::succeed(const plain_answer& answer)
--- a/test/at_most_once_test.py
+++ b/test/at_most_once_test.py
@@ -132,6 +132,32 @@
         wait_until(is_final, "a final answer", timeout_s=120)
 
 
+class WhenAServerRefuses(CallersCase):
+    # Guards against a second run of an order: client libraries send a call again by themselves after 429 and 503.
+    def test_a_call_that_may_have_run_gets_no_status_that_asks_for_a_repeat(self):
+        for server_status in (408, 429, 503):
+            self.fleet.faults(ORDERS, unproven_status=server_status)
+            for keyed in (True, False):
+                with self.subTest(server_status=server_status, keyed=keyed):
+                    key = new_key() if keyed else None
+                    runs_before = self.count_all_runs()
+                    answer = self.fleet.service("vm-1", "narudzbe/book", {"order": 1}, idempotency_key=key)
+                    self.assertEqual(self.count_all_runs(), runs_before + 1)
+                    self.assertNotIn(answer.status, (408, 421, 429, 503), answer.body)
+                    self.assertEqual(answer.error()["ran"], "outcome_unknown")
+                    self.assertNotIn("Retry-After", answer.headers)
+                    self.assertIsNone(answer.error()["retry_after_ms"])
+
+    def test_a_call_that_its_server_refused_with_proof_may_be_sent_again(self):
+        self.fleet.faults(ORDERS, refuse=True)
+        answer = self.fleet.service("vm-1", "narudzbe/book", {"order": 1})
+        self.assertEqual((answer.status, answer.error()["ran"]), (503, "not_run"))
+        self.assertEqual(self.count_all_runs(), 0)
+
+    def count_all_runs(self):
+        return sum(self.fleet.counts(ORDERS)["runs"].values())
+
+
 class WhenAnswersOfTheLogAreLost(CallersCase):
     def test_repeated_keys_run_at_most_once_and_agree(self):
         self.fleet.faults("log", lost_answers=0.5)
--- a/tools/agatespar-standin/plain_role.cpp
+++ b/tools/agatespar-standin/plain_role.cpp
@@ -19,6 +19,8 @@
     bool crossed{false};
     /// Refuses all calls.
     bool refuse{false};
+    /// If not 0, runs each call and answers with this status, without saying whether it ran.
+    int unproven_status{0};
     /// Refuses all calls and reports the server as leaving.
     bool leave{false};
 };
@@ -122,6 +124,11 @@
 
 void plain_role::answer(const std::shared_ptr<exchange>& call, const std::string& method, const std::string& key)
 {
+    if (faults_.unproven_status != 0) {
+        call->add_header("Retry-After", "1");
+        call->answer(faults_.unproven_status, {{"message", "the database does not answer"}});
+        return;
+    }
     call->answer(200, {{"fleet", settings_.fleet},
                        {"server", settings_.name},
                        {"method", method},
@@ -137,6 +144,7 @@
     read_field(faults, "lose_answer", faults_.lose_answer);
     read_field(faults, "crossed", faults_.crossed);
     read_field(faults, "refuse", faults_.refuse);
+    read_field(faults, "unproven_status", faults_.unproven_status);
     read_field(faults, "leave", faults_.leave);
 }
 
--- a/unittests/node/pages_test.cpp
+++ b/unittests/node/pages_test.cpp
@@ -2,6 +2,7 @@
 // that the page of guarantees cites.
 #include <agatespar/config/patch.h>
 #include <agatespar/frontend/api_format.h>
+#include <agatespar/http/message.h>
 #include <agatespar/node/settings.h>
 #include <agatespar/support/outcome.h>
 
@@ -88,7 +89,8 @@
     }
 }
 
-SCENARIO("the callers' page lists each error code with its HTTP status")
+// Guards against a status that usual client libraries take for "not run, send it again" beside an unknown outcome.
+SCENARIO("the callers' page lists each error code with its HTTP statuses")
 {
     const std::vector<table_row> rows = read_table("API.md", "## Error codes");
     constexpr auto code_count = static_cast<std::size_t>(error_code::internal) + 1;
@@ -96,10 +98,14 @@
     for (std::size_t i = 0; i < code_count; ++i) {
         const auto code = static_cast<error_code>(i);
         CAPTURE(to_string(code));
-        REQUIRE(rows[i].size() == 3);
+        REQUIRE(rows[i].size() == 4);
         CHECK(rows[i][0] == to_string(code));
-        CHECK(rows[i][1] == std::to_string(http_status_of(code)));
-        CHECK(!rows[i][2].empty());
+        CHECK(rows[i][1] == std::to_string(http_status_of(code, run_state::not_run)));
+        for (const run_state unproven : {run_state::outcome_unknown, run_state::ran}) {
+            CHECK(rows[i][2] == std::to_string(http_status_of(code, unproven)));
+            CHECK(!promises_not_run(http_status_of(code, unproven)));
+        }
+        CHECK(!rows[i][3].empty());
     }
 }
 
