Keep the logs of the processes of the process tests

Cause: process.at_most_once failed once and could not be traced, as the logs of its processes were removed with their folder; Fleet prints them only to tests that enter it themselves.

--- a/utils/harness/fleet.py
+++ b/utils/harness/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shutil
+import sys
 import tempfile
 import uuid
 import time
@@ -122,12 +123,30 @@
     def __exit__(self, kind, value, trace):
         if kind is not None:
             self.print_logs()
+        states = {name: process.child.poll() for name, process in self.processes.items()}
         for process in self.processes.values():
             process.resume()
             process.kill()
+        self.keep_logs(states)
         if not self.keep:
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def keep_logs(self, states):
+        """Copies the logs to the folder that TEST_LOGS names, if any. A failed test's result is known only later.
+
+        states: each process's exit code when the test ended; None if it was running.
+        """
+        parent = os.environ.get("TEST_LOGS")
+        if not parent:
+            return
+        script = os.path.splitext(os.path.basename(sys.argv[0]))[0]
+        folder = os.path.join(parent, f"{script}-{os.getpid()}", os.path.basename(self.folder))
+        os.makedirs(folder)
+        for name, process in self.processes.items():
+            shutil.copy(process.log_path, folder)
+            with open(os.path.join(folder, name + ".log"), "a", encoding="utf-8") as log:
+                log.write(f"--- at the end of the test: {'running' if states[name] is None else states[name]}\n")
+
     def print_logs(self):
         for name, process in self.processes.items():
             print(f"--- {name} ({'running' if process.running() else process.child.returncode})")
