--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -57,8 +57,9 @@
 {
     return status >= 500;
 }
-/// @return whether a status tells the client that its request was not run and never will be, so that clients repeat any
-/// request after it: 408, 421, 429 or 503 (RFC 9110, sections 15.5.9, 15.5.20 and 15.6.4; RFC 6585, section 4).
+/// @return whether a status tells the client that its request was not run and never will be, so that the client may
+/// repeat any request: 408, 421, 429 or 503. RFC 9110 and RFC 6585 define them as refusals to process the request; the
+/// interfaces of the router make the promise of it (docs/API.md, docs/INVARIANTS.md).
 constexpr bool promises_not_run(int status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
