--- a/tools/agatespar-standin/runner_role.cpp
+++ b/tools/agatespar-standin/runner_role.cpp
@@ -39,6 +39,8 @@
     std::string crash_text;
     /// Additional bytes in each event.
     std::uint64_t padding{0};
+    /// Additional bytes in each plain answer.
+    std::uint64_t answer_bytes{0};
 };
 
 class runner_role final : public role {
@@ -119,7 +121,9 @@
         return;
     }
     if (call->header("X-Model").empty()) {
-        call->answer_bytes(200, "text/plain", call->method() + " " + call->path() + " " + call->body());
+        call->answer_bytes(200, "text/plain",
+                           call->method() + " " + call->path() + " " + call->body() +
+                               std::string(faults_.answer_bytes, 'a'));
         return;
     }
     const bool small = call->header("X-Model") == "small";
@@ -181,6 +185,7 @@
     read_field(faults, "events", faults_.events);
     read_field(faults, "crash_text", faults_.crash_text);
     read_field(faults, "padding", faults_.padding);
+    read_field(faults, "answer_bytes", faults_.answer_bytes);
 }
 
 std::unique_ptr<role> make_runner_role(event_loop& loop, const role_settings& settings)
