Probe zones that can't be reached, and refuse at once what no server can be reached for

Cause: clients of a zone that is cut off while its servers are evacuated reach VMs that can reach no server. Each request tried five servers in other zones and was refused after up to 2 s. A zone was avoided for 1.5 s after two failures, the time of four connection attempts of a stream, so the fifth attempt went there again. Ruled out: room at the servers that could be reached; the zone's own servers were evacuated, as ordered.

Change: routing/zone_reachability (moved from gateway/server_directory) keeps a zone avoided while probes of it fail; a request avoids a zone where a connection was not taken in time; what can't be served is refused at once with a Retry-After; a VM that can reach no server says that it is not ready, so clients reach VMs of other zones about 2.5 s later.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include <agatespar/http/client.h>
 #include <agatespar/http/server.h>
 #include <agatespar/kernel/event_loop.h>
+#include <agatespar/routing/zone_reachability.h>
 #include <agatespar/telemetry/metrics.h>
 
 #include <chrono>
@@ -66,6 +67,9 @@
     rollout_settings rollouts;
 };
 
+/// @return the health probe of a server, on a new connection; the caller sets its time-out.
+client_request make_probe_request(const gateway_protocol& protocol, const fleet_server& server);
+
 /// @return how the gateway follows a topic.
 follower_settings make_follower_settings(fleet_topic topic, const gateway_settings& settings);
 
@@ -117,6 +121,18 @@
     void on_reachability_changed(fleet_topic topic, bool reachable, const std::string& reason, steady_time since);
     void apply_limits();
     void tick();
+    /// A probe of a zone that is under way, and its time-out.
+    struct zone_probe {
+        std::shared_ptr<client_call> call;
+        std::optional<timer_id> timer;
+    };
+    /// @return whether the zones of all servers that may get requests are unreachable.
+    bool is_cut_off() const;
+    void update_cut_off();
+    /// Sends the probes that are due to servers of avoided zones.
+    void probe_zones();
+    void start_zone_probe(const zone_name& zone, const std::shared_ptr<fleet_server>& server);
+    void end_zone_probe(zone_probe& probe);
     void write_reports();
     void write_evidence_rows();
     void end_when_idle(steady_time until);
@@ -143,6 +159,7 @@
     metrics_registry metrics_;
     fleet_state fleet_;
     zone_reachability zones_;
+    std::map<zone_name, zone_probe> zone_probes_;
     crash_guard crashes_;
     /// The verdicts that this VM changed last, the newest at the end.
     std::vector<gossip_item> own_verdicts_;
@@ -158,6 +175,8 @@
     std::map<zone_name, recent_times> round_trips_;
     bool writing_report_{false};
     bool stopping_{false};
+    /// No server can be reached from this VM, so the platform should send clients to VMs of other zones.
+    bool cut_off_{false};
     /// When the requests that are open during a stop are ended, so that their answers can still be sent.
     std::optional<steady_time> requests_end_at_;
     /// The requests that have not ended. Each is kept alive by its deadline's timer.
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -130,26 +130,6 @@
     std::optional<steady_time> store_back_at_;
 };
 
-/// Detects availability zones that cannot be reached: if several servers of a zone fail, the other servers there are
-/// probably behind the same network partition.
-class zone_reachability {
-public:
-    /// Records that a server could not be reached or stopped sending.
-    void note_unreachable(const fleet_server& server, steady_time now);
-    /// Records an answer of a server, which shows that its zone can be reached.
-    void note_reached(const fleet_server& server);
-    /// @return whether servers of other zones should be preferred to those of this zone.
-    bool is_avoided(const zone_name& zone, steady_time now) const;
-
-private:
-    struct zone_state {
-        /// Servers that failed since the last answer from the zone, and when.
-        std::map<server_name, steady_time> failed;
-    };
-
-    std::map<zone_name, zone_state> zones_;
-};
-
 /// Records an answer of the server, with the load that it reports, if any. The server is no longer avoided.
 void note_answer(fleet_server& server, const answer_metadata& metadata, steady_time now);
 /// Records a failed attempt. The server is avoided for a time that doubles with each consecutive failure.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -81,6 +81,9 @@
     if (tick_timer_) {
         loop_.cancel(*tick_timer_);
     }
+    for (auto& [zone, probe] : zone_probes_) {
+        end_zone_probe(probe);
+    }
 }
 
 std::unique_ptr<topic_follower> gateway::make_follower(const follower_settings& settings,
@@ -185,7 +188,8 @@
 
 bool gateway::is_ready() const
 {
-    return !stopping_ && fleet_.map() && orders_->is_complete() && servers_->is_complete() && reports_->is_complete();
+    return !stopping_ && !cut_off_ && fleet_.map() && orders_->is_complete() && servers_->is_complete() &&
+           reports_->is_complete();
 }
 
 void gateway::answer_readiness(const std::shared_ptr<server_exchange>& exchange) const
@@ -214,6 +218,7 @@
     show("agatespar_configuration_version", "Version of the configuration in force; 0 before the first.",
          fleet_.map() ? static_cast<double>(fleet_.map()->version.value()) : 0);
     show("agatespar_ready", "Whether this VM says that it is ready.", is_ready() ? 1 : 0);
+    show("agatespar_cut_off", "Whether no server can be reached from this VM.", cut_off_ ? 1 : 0);
     show("agatespar_open_requests", "Requests under way.", static_cast<double>(front_->open_exchanges()));
     show("agatespar_client_connections", "Open connections of clients.", static_cast<double>(front_->connections()));
     show("agatespar_servers", "Backend servers that are known.", static_cast<double>(fleet_.directory().all().size()));
@@ -244,6 +249,8 @@
 void gateway::tick()
 {
     fleet_.tick(loop_.time().now());
+    probe_zones();
+    update_cut_off();
     write_evidence_rows();
     write_reports();
     tick_timer_ = loop_.schedule(tick_interval, [this] { tick(); });
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -10,11 +10,6 @@
 // some seconds, and a single broken connection should cost little.
 static constexpr std::chrono::milliseconds initial_avoidance{150};
 static constexpr std::uint32_t max_doublings = 4;
-// A zone is suspect if this many of its servers fail within zone_failure_window without an answer in between, and stays
-// so for zone_failure_window after the last failure: partitions last seconds, and an occasional request detects the end
-// of one.
-static constexpr std::chrono::milliseconds zone_failure_window{1500};
-static constexpr std::size_t min_failed_servers = 2;
 // Most requests that a report counted have ended after this time, as streams last some seconds.
 static constexpr std::chrono::seconds load_report_lifetime{4};
 // A running request delays the first event of a new one by some ten milliseconds, as does processing this many prompt
@@ -183,28 +178,6 @@
     });
 }
 
-void zone_reachability::note_unreachable(const fleet_server& server, steady_time now)
-{
-    auto& failed = zones_[server.record.zone].failed;
-    std::erase_if(failed, [now](const auto& entry) { return now - entry.second > zone_failure_window; });
-    failed[server.record.name] = now;
-}
-
-void zone_reachability::note_reached(const fleet_server& server)
-{
-    zones_.erase(server.record.zone);
-}
-
-bool zone_reachability::is_avoided(const zone_name& zone, steady_time now) const
-{
-    const auto found = zones_.find(zone);
-    if (found == zones_.end() || found->second.failed.size() < min_failed_servers) {
-        return false;
-    }
-    const auto recent = [now](const auto& entry) { return now - entry.second <= zone_failure_window; };
-    return std::any_of(found->second.failed.begin(), found->second.failed.end(), recent);
-}
-
 void note_answer(fleet_server& server, const answer_metadata& metadata, steady_time now)
 {
     if (metadata.load) {
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -11,6 +11,7 @@
 #include <initializer_list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,8 @@
     void choose_version();
     void send_attempt();
     std::shared_ptr<fleet_server> pick_server();
+    /// @return whether servers of other zones are preferred for this request.
+    bool is_zone_avoided(const zone_name& zone) const;
     attempt_metadata describe_attempt(const fleet_server& server) const;
     /// Subtracts the request's prompt from the server's unread tokens: the server has begun to answer or never will, so
     /// the prompt no longer delays other requests there.
@@ -164,6 +167,10 @@
     bool run_counted_{false};
     progress progress_{progress::nothing_ran};
     std::vector<server_name> tried_;
+    /// Zones where a server did not take this request's connection in time, as if the zone were cut off.
+    std::set<zone_name> silent_zones_;
+    /// At the last choice of a server, the zones of all eligible ones were unreachable.
+    bool no_server_reachable_{false};
     std::optional<crash_suspects> suspects_;
     /// Servers that crashed before they had begun to answer the request.
     int crashes_{0};
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -35,7 +35,7 @@
         owner_.fleet_.note_says_leaving(*server_, metadata_.id);
     }
     record_progress();
-    owner_.zones_.note_reached(*server_);
+    owner_.zones_.note_reached(server_->record.zone);
     release_unread_tokens();
     if (metadata.not_run &&
         find_header(head.headers, owner_.protocol_.id_header).value_or("") != metadata_.id.value()) {
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -18,6 +18,9 @@
 // The connect time-out is the route's goal divided by this, so that another server can still answer in time.
 static constexpr int connect_goal_divisor = 4;
 
+// Clients honour a Retry-After of up to this fraction of the time that they have left (PROTOCOL.md, Answers).
+static constexpr int max_retry_after_divisor = 3;
+
 std::shared_ptr<fleet_server> transparent_request::pick_server()
 {
     const steady_time now = owner_.loop_.time().now();
@@ -34,6 +37,12 @@
         need.version = version_choice::others_only;
         servers = eligible_servers(owner_.fleet_, need, now);
     }
+    no_server_reachable_ = !servers.empty() && std::all_of(servers.begin(), servers.end(), [&](const auto& server) {
+        return owner_.zones_.is_unreachable(server->record.zone, now);
+    });
+    if (no_server_reachable_) {
+        return nullptr;
+    }
     // The last part of the prompt is unique to the request; the part before it ends the longest prefix that other
     // requests may share.
     const bool is_clear =
@@ -47,7 +56,7 @@
     for (const auto& server : servers) {
         options.push_back({estimated_load(*server, now), std::max(1U, server->record.slots),
                            estimated_backlog(*server, now),
-                           server->avoid_until > now || owner_.zones_.is_avoided(server->record.zone, now),
+                           server->avoid_until > now || is_zone_avoided(server->record.zone),
                            combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
     }
     const auto chosen = choose_server(options, prefer_prompt_affinity, owner_.settings_.choice, owner_.random_);
@@ -65,6 +74,11 @@
     return server;
 }
 
+bool transparent_request::is_zone_avoided(const zone_name& zone) const
+{
+    return silent_zones_.contains(zone) || owner_.zones_.is_avoided(zone, owner_.loop_.time().now());
+}
+
 void transparent_request::record_attempt(const fleet_server& server, std::size_t candidates)
 {
     const steady_time now = owner_.loop_.time().now();
@@ -119,6 +133,10 @@
         if (answer_started_) {
             abort_answer("no server can resume the stream");
         }
+        else if (progress_ == progress::nothing_ran && no_server_reachable_) {
+            // A partition lasts seconds, and its end is not known: the client comes back as late as it is willing to.
+            answer_error(503, "no server can be reached", time_left() / max_retry_after_divisor);
+        }
         else if (progress_ == progress::nothing_ran) {
             answer_error(503, "no server has room");
         }
@@ -220,7 +238,10 @@
     note_failure(*server_, owner_.loop_.time().now());
     report_.attempts.back().outcome = failed.reason;
     if (head_.status == 0) {
-        owner_.zones_.note_unreachable(*server_, owner_.loop_.time().now());
+        owner_.zones_.note_unreachable(server_->record.zone, server_->record.name, owner_.loop_.time().now());
+    }
+    if (failed.state == send_state::not_sent && !failed.connection_ended) {
+        silent_zones_.insert(server_->record.zone);
     }
     if (failed.state == send_state::sent) {
         progress_ = progress::may_have_run;
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -10,6 +10,18 @@
 // For this long after an unanswered probe, other requests at the same server rely on its result instead of probing.
 static constexpr std::chrono::milliseconds probe_failure_lifetime{500};
 
+client_request make_probe_request(const gateway_protocol& protocol, const fleet_server& server)
+{
+    client_request request;
+    request.key = server.record.name.value();
+    request.address = server.record.address;
+    request.head.method = "GET";
+    request.head.target = protocol.probe_target;
+    request.head.headers = {{"Host", request.address}};
+    request.may_reuse = false;
+    return request;
+}
+
 waiting_request transparent_request::describe_waiting() const
 {
     waiting_request waiting;
@@ -90,14 +102,8 @@
 outcome<void> transparent_request::start_probe(std::function<void()> answered,
                                                std::function<void(const send_failure&)> failed)
 {
-    client_request request;
-    request.key = server_->record.name.value();
-    request.address = server_->record.address;
-    request.head.method = "GET";
-    request.head.target = owner_.protocol_.probe_target;
-    request.head.headers = {{"Host", request.address}};
+    client_request request = make_probe_request(owner_.protocol_, *server_);
     request.connect_timeout = probe_timeout;
-    request.may_reuse = false;
     client_callbacks callbacks;
     callbacks.head = [self = shared_from_this(), answered = std::move(answered)](const http_answer_head& head) {
         if (self->server_) {
@@ -143,7 +149,7 @@
     }
     if (server->last_received_at < attempt_started_at_) {
         note_failure(*server, now);
-        owner_.zones_.note_unreachable(*server, now);
+        owner_.zones_.note_unreachable(server->record.zone, server->record.name, now);
     }
 }
 
