Limit client connections to the descriptors that the VM has for them

Nothing limited the connections of clients. 400 connections without a request, or with an incomplete head, made a process with max_fds 400 hold 418 descriptors (test/crowd_test.py WithManyConnections, both cases failed). A listener without descriptors also polled the pending connections without a pause.

Of min(max_fds - 200, the process's own limit), a quarter is reserved for servers, the store and other VMs. Beyond the rest, a new connection evicts the one that has been idle longest, then one whose incomplete head made no progress for a second; otherwise it is closed without having been read. The bytes that the operating system has for the chosen connection are read first, so that a request that has arrived is served. Connections that linger count. The listeners for readiness and metrics get 16 connections each. If accept fails for lack of descriptors, the listener pauses for 100 ms. Without max_fds in the settings file, nothing changes except for the pause.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include <agatespar/telemetry/metrics.h>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -55,6 +56,8 @@
     /// Bandwidth of this VM's network link in megabits per second, and its share of a CPU core.
     double link_mbps{0};
     double cpu_share{0};
+    /// The operators' limit on open descriptors; without it, client connections are not limited.
+    std::optional<std::size_t> max_fds;
     /// This is the first start of all VMs, so the list of VMs in the store is still empty.
     bool first_start{false};
     /// Minimum number of VMs that fleet-wide limits are divided among, as a VM does not know yet of those that have
@@ -120,6 +123,7 @@
     void handle_request(const std::shared_ptr<server_exchange>& exchange);
     void on_reachability_changed(fleet_topic topic, bool reachable, const std::string& reason, steady_time since);
     void apply_limits();
+    void apply_descriptor_limit();
     void tick();
     /// A probe of a zone that is under way, and its time-out.
     struct zone_probe {
--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -2,12 +2,16 @@
 // answer.
 #pragma once
 
+#include <agatespar/http/connection_limit.h>
 #include <agatespar/http/message_reader.h>
 #include <agatespar/http/tcp_stream.h>
 #include <agatespar/kernel/event_loop.h>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -23,6 +27,16 @@
     std::chrono::milliseconds idle_timeout{15000};
 };
 
+/// Counts of connections that were closed because of the limit on connections, since the start of the listener.
+struct connection_counters {
+    /// Idle connections, and connections with an incomplete head, that gave way to a new one.
+    std::uint64_t evicted{0};
+    /// New connections that were closed without having been read.
+    std::uint64_t refused{0};
+    /// Pauses of the listener, as the process had no descriptor left.
+    std::uint64_t accept_pauses{0};
+};
+
 class server_connection;
 
 /// A request and its answer. The answer may be sent at once or in pieces, and after the handler has returned.
@@ -87,6 +101,10 @@
 
     std::string address() const { return listener_->address(); }
     void set_limits(const server_limits& limits) { limits_ = limits; }
+    /// Sets the maximum number of open connections. Beyond it, a new connection evicts one that is not in use, or is
+    /// closed without having been read. @param limit at least one; nothing for no limit.
+    void set_connection_limit(std::optional<std::size_t> limit) { connection_limit_ = limit; }
+    connection_counters counters() const;
     /// From now on, each connection is closed after its next answer.
     void close_after_answers() { closing_ = true; }
     /// Accepts the connections that are already pending, stops listening, and closes the connections that wait for
@@ -104,9 +122,18 @@
 private:
     friend class server_connection;
 
+    void add_connection(std::shared_ptr<tcp_stream> stream);
+    /// Closes connections until a further one is within the limit. @return whether it is.
+    bool make_room();
+    bool has_room() const;
+    void log_limit_reached();
+
     event_loop& loop_;
     server_limits limits_;
     exchange_callback handler_;
+    std::optional<std::size_t> connection_limit_;
+    connection_counters counters_;
+    std::optional<steady_time> limit_logged_at_;
     bool closing_{false};
     std::unique_ptr<tcp_listener> listener_;
     std::set<std::shared_ptr<server_connection>> connections_;
--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -5,6 +5,7 @@
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/support/outcome.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -113,14 +114,21 @@
     std::string address() const;
     /// Accepts all pending connections; closing the listener would reset them.
     void accept_pending();
+    /// @return how often the operating system had no descriptor or memory for a connection.
+    std::uint64_t accept_pauses() const { return accept_pauses_; }
 
 private:
     /// @return whether a connection was accepted.
     bool accept_one();
+    /// Stops to accept connections for a while, as the pending ones would wake the loop at once again.
+    void pause();
 
     event_loop& loop_;
     int descriptor_;
     accept_callback on_accept_;
+    std::optional<timer_id> pause_timer_;
+    std::uint64_t accept_pauses_{0};
+    std::optional<steady_time> pause_logged_at_;
     descriptor_watch watch_;
 };
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -25,6 +25,8 @@
 static constexpr std::chrono::milliseconds idle_check_interval{50};
 // Maximum size of the headers of readiness checks and of reads of the metrics: the platform sends short ones.
 static constexpr std::uint32_t readiness_header_bytes = 4096;
+// Maximum number of connections for readiness checks, and of those for the metrics: the platform uses one or two.
+static constexpr std::size_t platform_connections = 16;
 
 /// @return an id of this start of the process, so that a restarted VM is not mistaken for its previous instance.
 static std::uint64_t own_boot_id(const std::string& vm_name, const event_loop& loop)
@@ -60,6 +62,7 @@
         return tl::make_unexpected(metrics_listener.error());
     }
     opened->metrics_listener_ = std::move(*metrics_listener);
+    opened->apply_descriptor_limit();
     opened->relay_->start();
     opened->tick();
     return opened;
@@ -186,6 +189,17 @@
     }
 }
 
+void gateway::apply_descriptor_limit()
+{
+    const bool has_limit = settings_.max_fds.has_value();
+    front_->set_connection_limit(
+        has_limit ? std::optional{client_connection_limit(*settings_.max_fds, process_descriptor_limit())}
+                  : std::nullopt);
+    for (http_listener* listener : {readiness_.get(), metrics_listener_.get()}) {
+        listener->set_connection_limit(has_limit ? std::optional{platform_connections} : std::nullopt);
+    }
+}
+
 bool gateway::is_ready() const
 {
     return !stopping_ && !cut_off_ && fleet_.map() && orders_->is_complete() && servers_->is_complete() &&
@@ -231,6 +245,12 @@
     const auto count = [this](std::string_view name, std::string_view help, std::uint64_t value) {
         metrics_.make_counter(name, help).value = value;
     };
+    count("agatespar_client_connections_evicted_total", "Client connections closed in favour of new ones.",
+          front_->counters().evicted);
+    count("agatespar_client_connections_refused_total", "Client connections closed without having been read.",
+          front_->counters().refused);
+    count("agatespar_accept_pauses_total", "Pauses in accepting clients, as no descriptor was left.",
+          front_->counters().accept_pauses);
     count("agatespar_server_connections_opened_total", "Connections opened to servers and the store.",
           pool_.counters().opened);
     count("agatespar_server_connections_reused_total", "Calls on kept connections.", pool_.counters().reused);
@@ -332,6 +352,8 @@
     }
     settings_.rollouts = changed.rollouts;
     fleet_.change_rollout_settings(settings_.rollouts);
+    settings_.max_fds = changed.max_fds;
+    apply_descriptor_limit();
     relay_->set_own_capacity(changed.link_mbps, changed.cpu_share);
     return has_other_addresses;
 }
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -2,6 +2,7 @@
 #include "server_connection.h"
 
 #include <agatespar/http/server.h>
+#include <agatespar/telemetry/log.h>
 
 #include <algorithm>
 #include <cassert>
@@ -11,6 +12,8 @@
 static constexpr int first_status_with_body = 200;
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
+// Minimum time between two log lines about the limit on connections.
+static constexpr std::chrono::seconds limit_log_interval{10};
 
 http_answer_head local_answer_head(int status)
 {
@@ -164,11 +167,8 @@
 {
     auto listener = std::make_unique<http_listener>(loop, limits, std::move(handler));
     auto* self = listener.get();
-    auto opened = tcp_listener::open(loop, address, [self](std::shared_ptr<tcp_stream> stream) {
-        const auto connection = std::make_shared<server_connection>(*self, std::move(stream));
-        self->connections_.insert(connection);
-        connection->start();
-    });
+    auto opened = tcp_listener::open(
+        loop, address, [self](std::shared_ptr<tcp_stream> stream) { self->add_connection(std::move(stream)); });
     if (!opened) {
         return tl::make_unexpected(opened.error());
     }
@@ -190,11 +190,72 @@
     }
 }
 
+connection_counters http_listener::counters() const
+{
+    connection_counters counters = counters_;
+    counters.accept_pauses = listener_ ? listener_->accept_pauses() : counters_.accept_pauses;
+    return counters;
+}
+
+void http_listener::add_connection(std::shared_ptr<tcp_stream> stream)
+{
+    if (!make_room()) {
+        ++counters_.refused;
+        log_limit_reached();
+        stream->close();
+        return;
+    }
+    const auto connection = std::make_shared<server_connection>(*this, std::move(stream));
+    connections_.insert(connection);
+    connection->start();
+}
+
+bool http_listener::has_room() const
+{
+    // Connections that linger hold a descriptor too. Those that have ended are told apart only if it matters.
+    return !connection_limit_ || connections_.size() + lingering_.size() < *connection_limit_ ||
+           connections_.size() + lingering() < *connection_limit_;
+}
+
+bool http_listener::make_room()
+{
+    while (!has_room()) {
+        std::vector<std::shared_ptr<server_connection>> connections{connections_.begin(), connections_.end()};
+        std::vector<connection_state> states;
+        states.reserve(connections.size());
+        for (const auto& connection : connections) {
+            states.push_back(connection->state());
+        }
+        const auto chosen = choose_evicted(states, loop_.time().now());
+        if (!chosen) {
+            return false;
+        }
+        if (connections[*chosen]->evict()) {
+            ++counters_.evicted;
+            log_limit_reached();
+        }
+    }
+    return true;
+}
+
+void http_listener::log_limit_reached()
+{
+    const steady_time now = loop_.time().now();
+    if (limit_logged_at_ && now - *limit_logged_at_ < limit_log_interval) {
+        return;
+    }
+    limit_logged_at_ = now;
+    log_event(
+        log_severity::warning, "connection_limit_reached",
+        {{"limit", std::uint64_t{*connection_limit_}}, {"evicted", counters_.evicted}, {"refused", counters_.refused}});
+}
+
 void http_listener::stop()
 {
     closing_ = true;
     if (listener_) {
         listener_->accept_pending();
+        counters_.accept_pauses = listener_->accept_pauses();
     }
     listener_.reset();
     const auto connections = connections_;
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -21,7 +21,7 @@
 static constexpr int status_header_too_large = 431;
 
 server_connection::server_connection(http_listener& listener, std::shared_ptr<tcp_stream> stream)
-    : listener_(&listener), loop_(listener.loop_), stream_(std::move(stream))
+    : listener_(&listener), loop_(listener.loop_), stream_(std::move(stream)), active_at_(loop_.time().now())
 {
 }
 
@@ -51,6 +51,7 @@
 void server_connection::on_bytes(std::string_view bytes)
 {
     input_.append(bytes);
+    active_at_ = loop_.time().now();
     if (is_busy()) {
         stream_->pause_reading(input_.size() > max_pipelined_bytes);
         return;
@@ -65,6 +66,7 @@
         awaits_first_request_ = false;
         start_time_ = loop_.time().now();
         body_.clear();
+        head_complete_ = false;
         reader_.emplace(listener_->limits_.message, message_callbacks<http_request_head>{
                                                         [this](http_request_head head) { take_head(std::move(head)); },
                                                         [this](std::string_view bytes) { body_.append(bytes); }});
@@ -84,6 +86,7 @@
 
 void server_connection::take_head(http_request_head head)
 {
+    head_complete_ = true;
     head_keeps_alive_ = head.keep_alive;
     const auto expected = find_header(head.headers, "expect");
     if (expected && equal_without_case(*expected, "100-continue")) {
@@ -127,6 +130,7 @@
         close_when_sent();
         return;
     }
+    active_at_ = loop_.time().now();
     start_timer(listener_->limits_.idle_timeout, 0);
     stream_->pause_reading(false);
     if (!input_.empty()) {
@@ -166,6 +170,28 @@
     start_timer(std::min(listener_->limits_.idle_timeout, first_request_timeout), 0);
 }
 
+connection_state server_connection::state() const
+{
+    if (reader_) {
+        return {head_complete_ ? client_activity::in_request : client_activity::sending_head, active_at_};
+    }
+    const bool is_idle = !is_busy() && input_.empty() && stream_->unsent() == 0;
+    return {is_idle ? client_activity::idle : client_activity::in_request, active_at_};
+}
+
+bool server_connection::evict()
+{
+    const auto self = shared_from_this();
+    const steady_time active_at = active_at_;
+    const client_activity activity = state().activity;
+    stream_->read_now();
+    if (listener_ == nullptr || active_at_ != active_at || state().activity != activity) {
+        return false;
+    }
+    close_now(false);
+    return true;
+}
+
 void server_connection::on_end()
 {
     const auto exchange = exchange_.lock();
--- a/lib/http/server_connection.h
+++ b/lib/http/server_connection.h
@@ -29,6 +29,10 @@
     /// Closes the connection unless the operating system has received bytes of a request. A connection without any
     /// request yet stays open briefly, as its first request may be in transit.
     void close_if_idle();
+    connection_state state() const;
+    /// Closes the connection unless the operating system has received further bytes of a request.
+    /// @return whether it was closed in favour of another one.
+    bool evict();
     /// Closes the connection. To be called when the listener is destroyed; the listener is not accessed afterwards.
     void detach();
 
@@ -53,6 +57,9 @@
     http_request_head head_;
     std::string body_;
     steady_time start_time_;
+    /// When the connection became idle, or when the last bytes of a request arrived.
+    steady_time active_at_;
+    bool head_complete_{false};
     bool head_keeps_alive_{true};
     bool had_request_{false};
     /// The listener is stopping, and the first request may be in transit.
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -28,6 +28,11 @@
 static constexpr int keepalive_probes = 2;
 // Maximum pending connections of a listener: a VM may receive all clients of a zone whose other VMs failed.
 static constexpr int accept_backlog = 1024;
+// How long a listener pauses when the process has no descriptor left. Connections end within such a time under load,
+// and a client does not notice it.
+static constexpr std::chrono::milliseconds accept_pause{100};
+// Minimum time between two log lines about such pauses.
+static constexpr std::chrono::seconds accept_pause_log_interval{10};
 
 static std::optional<sockaddr_in> parse_address(const std::string& text)
 {
@@ -333,6 +338,9 @@
 
 tcp_listener::~tcp_listener()
 {
+    if (pause_timer_) {
+        loop_.cancel(*pause_timer_);
+    }
     ::close(descriptor_);
 }
 
@@ -362,10 +370,32 @@
         on_accept_(tcp_stream::adopt(loop_, accepted));
         return true;
     }
-    if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED) {
+    if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+        pause();
+    }
+    else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ECONNABORTED) {
         log_event(log_severity::warning, "accept_failed", {{"reason", std::strerror(errno)}});
     }
     return false;
 }
 
+void tcp_listener::pause()
+{
+    const std::string reason = std::strerror(errno);
+    if (pause_timer_) {
+        return;
+    }
+    ++accept_pauses_;
+    const steady_time now = loop_.time().now();
+    if (!pause_logged_at_ || now - *pause_logged_at_ >= accept_pause_log_interval) {
+        pause_logged_at_ = now;
+        log_event(log_severity::warning, "accept_paused", {{"reason", reason}, {"pauses", accept_pauses_}});
+    }
+    watch_.wait_for(false, false);
+    pause_timer_ = loop_.schedule(accept_pause, [this] {
+        pause_timer_.reset();
+        watch_.wait_for(true, false);
+    });
+}
+
 } // namespace agatespar
--- a/unittests/entry/records_test.cpp
+++ b/unittests/entry/records_test.cpp
@@ -150,13 +150,19 @@
     const auto settings = read_settings(
         R"({"metrics_port":9464,"fields":{"node_name":"edge-1","ip":"10.1.0.40","zone":"osijek-a","listen":{"front":"10.1.0.40:8227",
         "readiness":"10.1.0.40:8220"},"platform":{"address":"10.200.1.7:8223"},"bounds":{"grace_s":8,"retry_ratio":0.9,
-        "retry_slack":58},"novel":{"field":1}}})");
+        "retry_slack":58},"novel":{"field":1},"limits":{"max_fds":2870}}})");
     REQUIRE(settings);
+    CHECK(settings->gateway.max_fds == 2870);
     CHECK(settings->gateway.vm_name == "edge-1");
     CHECK(settings->gateway.front_address == "10.1.0.40:8227");
     CHECK(settings->gateway.shutdown_timeout == 8s);
     CHECK(settings->gateway.metrics_address == "10.1.0.40:9464");
     CHECK(settings->store_address == "10.200.1.7:8223");
+    const auto without_limits = read_settings(
+        R"({"metrics_port":1,"fields":{"node_name":"e","ip":"1","zone":"z","listen":{"front":"1","readiness":"1"},
+        "platform":{"address":"1"}}})");
+    REQUIRE(without_limits);
+    CHECK(!without_limits->gateway.max_fds);
     const auto missing = read_settings(
         R"({"metrics_port":9464,"fields":{"node_name":"edge-1","ip":"1","zone":"z","listen":{"front":"1"}}})");
     REQUIRE(!missing);
--- a/unittests/http/loopback.h
+++ b/unittests/http/loopback.h
@@ -4,8 +4,13 @@
 #include <agatespar/http/tcp_stream.h>
 #include <agatespar/kernel/glib_event_loop.h>
 
+#include <arpa/inet.h>
 #include <catch2/catch.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -81,4 +86,32 @@
     }
 };
 
+/// A client with a blocking socket, so that the operating system has its bytes before the listener's loop runs.
+struct blocking_client {
+    int descriptor{socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)};
+
+    explicit blocking_client(const std::string& address)
+    {
+        sockaddr_in target{};
+        target.sin_family = AF_INET;
+        target.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1))));
+        target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target) == 0);
+    }
+    blocking_client(const blocking_client&) = delete;
+    blocking_client& operator=(const blocking_client&) = delete;
+    ~blocking_client() { close(descriptor); }
+    void send_text(const std::string& text) const
+    {
+        REQUIRE(send(descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    }
+    /// @return the bytes that have arrived.
+    std::string receive_text() const
+    {
+        std::array<char, 4096> buffer{};
+        const ssize_t count = recv(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        return {buffer.data(), count > 0 ? static_cast<std::size_t>(count) : 0};
+    }
+};
+
 } // namespace agatespar::test
