Probe three servers of a zone before it counts as unreachable

Cause: a single probe may reach a server that is down or silent itself, and then a zone counts as unreachable whose other servers answer; requests avoid it, or are refused. Small deployments have two to six servers a zone.

Change: a round probes three servers, those without failures first, and fails only if none of them answers within 0.4 s.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -125,9 +125,9 @@
     void apply_limits();
     void apply_descriptor_limit();
     void tick();
-    /// A probe of a zone that is under way, and its time-out.
-    struct zone_probe {
-        std::shared_ptr<client_call> call;
+    /// Probes of servers of one zone that are under way, and their common time-out.
+    struct zone_probe_round {
+        std::vector<std::shared_ptr<client_call>> calls;
         std::optional<timer_id> timer;
     };
     /// @return whether the zones of all servers that may get requests are unreachable.
@@ -135,8 +135,9 @@
     void update_cut_off();
     /// Sends the probes that are due to servers of avoided zones.
     void probe_zones();
-    void start_zone_probe(const zone_name& zone, const std::shared_ptr<fleet_server>& server);
-    void end_zone_probe(zone_probe& probe);
+    void start_zone_probes(const zone_name& zone, const std::vector<std::shared_ptr<fleet_server>>& servers);
+    void on_zone_answer(const zone_name& zone, fleet_server& server, const http_answer_head& head);
+    void end_zone_probes(zone_probe_round& round);
     void write_reports();
     void write_evidence_rows();
     void end_when_idle(steady_time until);
@@ -163,7 +164,7 @@
     metrics_registry metrics_;
     fleet_state fleet_;
     zone_reachability zones_;
-    std::map<zone_name, zone_probe> zone_probes_;
+    std::map<zone_name, zone_probe_round> zone_probes_;
     crash_guard crashes_;
     /// The verdicts that this VM changed last, the newest at the end.
     std::vector<gossip_item> own_verdicts_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -84,8 +84,8 @@
     if (tick_timer_) {
         loop_.cancel(*tick_timer_);
     }
-    for (auto& [zone, probe] : zone_probes_) {
-        end_zone_probe(probe);
+    for (auto& [zone, round] : zone_probes_) {
+        end_zone_probes(round);
     }
 }
 
--- a/lib/gateway/gateway_zones.cpp
+++ b/lib/gateway/gateway_zones.cpp
@@ -2,6 +2,7 @@
 #include <agatespar/gateway/gateway.h>
 #include <agatespar/telemetry/log.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace agatespar {
@@ -9,6 +10,8 @@
 // A server answers a probe at once, and a new connection takes two round trips to the farthest zone; a lost packet is
 // sent again after some 200 ms.
 static constexpr std::chrono::milliseconds zone_probe_timeout{400};
+// Servers that are probed at a time. Single servers of a zone may be down or silent while the zone can be reached.
+static constexpr std::size_t probes_per_zone = 3;
 
 bool gateway::is_cut_off() const
 {
@@ -43,65 +46,68 @@
                 servers.push_back(server);
             }
         }
-        if (servers.empty()) {
-            continue;
-        }
-        // A random one, as the server that failed may have crashed by itself.
-        std::uniform_int_distribution<std::size_t> any{0, servers.size() - 1};
-        start_zone_probe(zone, servers[any(random_)]);
+        std::shuffle(servers.begin(), servers.end(), random_);
+        // Those that this VM has not found to fail come first.
+        std::stable_partition(servers.begin(), servers.end(), [](const auto& server) { return server->failures == 0; });
+        servers.resize(std::min(servers.size(), probes_per_zone));
+        start_zone_probes(zone, servers);
     }
 }
 
-void gateway::start_zone_probe(const zone_name& zone, const std::shared_ptr<fleet_server>& server)
+void gateway::start_zone_probes(const zone_name& zone, const std::vector<std::shared_ptr<fleet_server>>& servers)
 {
-    zone_probe& probe = zone_probes_[zone];
-    end_zone_probe(probe);
-    client_request request = make_probe_request(protocol_, *server);
-    request.connect_timeout = zone_probe_timeout;
-    client_callbacks callbacks;
-    callbacks.head = [this, zone, server](const http_answer_head& head) {
-        server->last_received_at = loop_.time().now();
-        if (protocol_.read_answer(head).leaving) {
-            fleet_.note_says_leaving(*server, request_id{});
-        }
-        zones_.note_reached(zone);
-        log_event(log_severity::info, "zone_reached",
-                  {{"zone", zone.value()}, {"server", server->record.name.value()}});
-    };
-    callbacks.body = [](std::string_view) {};
-    callbacks.done = [] {};
-    callbacks.failed = [this, zone](const send_failure& failure) {
-        // A refused connection shows that the zone answers, but not that its servers do.
-        if (!failure.connection_ended) {
-            zones_.note_probe_failed(zone, loop_.time().now());
+    zone_probe_round& round = zone_probes_[zone];
+    end_zone_probes(round);
+    for (const auto& server : servers) {
+        client_request request = make_probe_request(protocol_, *server);
+        request.connect_timeout = zone_probe_timeout;
+        client_callbacks callbacks;
+        callbacks.head = [this, zone, server](const http_answer_head& head) { on_zone_answer(zone, *server, head); };
+        callbacks.body = [](std::string_view) {};
+        callbacks.done = [] {};
+        callbacks.failed = [](const send_failure&) {};
+        if (auto started = pool_.start(request, std::move(callbacks)); started) {
+            round.calls.push_back(std::move(*started));
         }
-    };
-    auto started = pool_.start(request, std::move(callbacks));
-    if (!started) {
-        log_event(log_severity::debug, "probe_not_started", {{"reason", started.error().message}});
-        return;
     }
     metrics_.make_counter("agatespar_zone_probes_total", "Probes of zones that are avoided.", {{"zone", zone.value()}})
-        .add();
-    probe.call = std::move(*started);
-    probe.timer = loop_.schedule(zone_probe_timeout, [this, zone] {
-        zone_probe& silent = zone_probes_[zone];
+        .add(round.calls.size());
+    if (round.calls.empty()) {
+        return;
+    }
+    round.timer = loop_.schedule(zone_probe_timeout, [this, zone] {
+        zone_probe_round& silent = zone_probes_[zone];
         silent.timer.reset();
-        end_zone_probe(silent);
+        end_zone_probes(silent);
         zones_.note_probe_failed(zone, loop_.time().now());
     });
 }
 
-void gateway::end_zone_probe(zone_probe& probe)
+void gateway::on_zone_answer(const zone_name& zone, fleet_server& server, const http_answer_head& head)
+{
+    server.last_received_at = loop_.time().now();
+    if (protocol_.read_answer(head).leaving) {
+        fleet_.note_says_leaving(server, request_id{});
+    }
+    zones_.note_reached(zone);
+    zone_probe_round& round = zone_probes_[zone];
+    if (round.timer) {
+        loop_.cancel(*round.timer);
+        round.timer.reset();
+        log_event(log_severity::info, "zone_reached", {{"zone", zone.value()}, {"server", server.record.name.value()}});
+    }
+}
+
+void gateway::end_zone_probes(zone_probe_round& round)
 {
-    if (probe.timer) {
-        loop_.cancel(*probe.timer);
-        probe.timer.reset();
+    if (round.timer) {
+        loop_.cancel(*round.timer);
+        round.timer.reset();
     }
-    if (probe.call) {
-        probe.call->cancel();
-        probe.call.reset();
+    for (const auto& call : round.calls) {
+        call->cancel();
     }
+    round.calls.clear();
 }
 
 } // namespace agatespar
