Send segments of an output queue, and share large bodies with it instead of copying them

A request's head and body were copied into one string for each attempt, that string into the output of the connection, and each partial send moved the rest to the front. The queue now holds segments; a large body is one that is shared by all attempts. Bytes that the operating system takes at once are not copied into the queue.

--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -42,6 +42,7 @@
 };
 
 class connection_pool;
+struct client_request;
 
 /// A request in flight. Destroying the call closes its connection, so that the server stops processing the request.
 class client_call : public std::enable_shared_from_this<client_call> {
@@ -68,7 +69,7 @@
     friend class connection_pool;
     outcome<void> open(const std::string& address, std::chrono::milliseconds connect_timeout);
     void attach(std::shared_ptr<tcp_stream> stream);
-    void send(const http_request_head& head, std::string_view body);
+    void send(const client_request& request);
     tcp_callbacks make_callbacks();
     void on_bytes(std::string_view bytes);
     void on_end(stream_end how);
@@ -107,6 +108,8 @@
     std::string address;
     http_request_head head;
     std::string_view body;
+    /// If set, the body in place of `body`; it is shared, not copied.
+    std::shared_ptr<const std::string> shared_body;
     std::chrono::milliseconds connect_timeout{500};
     /// Whether an idle connection of the pool may be used. The server may close it at that moment, and then it is
     /// unknown whether the request was executed. A request that must run at most once requires a new connection.
@@ -137,7 +140,8 @@
 /// Pool of idle connections to servers, which later calls reuse.
 class connection_pool {
 public:
-    connection_pool(event_loop& loop, const pool_limits& limits);
+    /// @param memory the budget in which unsent bytes are counted, or null.
+    connection_pool(event_loop& loop, const pool_limits& limits, std::shared_ptr<memory_budget> memory = nullptr);
     connection_pool(const connection_pool&) = delete;
     connection_pool& operator=(const connection_pool&) = delete;
     ~connection_pool();
@@ -147,6 +151,8 @@
     /// Closes all idle connections to a server. @param key the server's client_request::key.
     void forget(const std::string& key);
     const pool_counters& counters() const { return counters_; }
+    /// @return the budget of the process, or null.
+    const std::shared_ptr<memory_budget>& memory() const { return memory_; }
 
 private:
     friend class client_call;
@@ -160,6 +166,7 @@
 
     event_loop& loop_;
     pool_limits limits_;
+    std::shared_ptr<memory_budget> memory_;
     pool_counters counters_;
     std::unordered_map<std::string, std::deque<idle_connection>> idle_connections_;
 };
--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -1,6 +1,7 @@
 // TCP connections on the event loop, with back-pressure in both directions.
 #pragma once
 
+#include <agatespar/http/output_queue.h>
 #include <agatespar/kernel/descriptor_watch.h>
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/support/outcome.h>
@@ -52,8 +53,16 @@
 
     void set_callbacks(tcp_callbacks callbacks);
     void write(std::string_view bytes);
+    /// Writes a head and a body. What can't be sent of the body at once is shared, not copied.
+    void write(std::string_view head, const std::shared_ptr<const std::string>& body);
+    /// Counts the unsent bytes in a budget from now on. @param budget may be null.
+    void count_output(std::shared_ptr<memory_budget> budget, memory_holder holder);
     /// @return the number of bytes that were written and not yet handed to the operating system.
     std::size_t unsent() const { return output_.size(); }
+    /// @return when the peer last made room for bytes that wait; since then it has read nothing.
+    steady_time last_sent_at() const { return last_sent_at_; }
+    /// @return the peer's IPv4 address without the port, or 0 if it is unknown.
+    std::uint32_t peer_address() const;
     /// @return whether any byte was handed to the operating system since reset_sent(), so that the peer may have
     /// received it.
     bool has_sent() const { return has_sent_; }
@@ -77,6 +86,8 @@
     void finish_connect();
     void read_available();
     void send_pending(bool was_waiting);
+    /// Sends bytes from some buffers. @return the number of bytes that the operating system has taken.
+    std::size_t send_now(const output_parts& parts);
     void after_sending(bool was_waiting);
     void end(stream_end how);
     void update_watch();
@@ -89,7 +100,8 @@
     bool has_sent_{false};
     bool broken_{false};
     std::optional<timer_id> linger_timer_;
-    std::string output_;
+    steady_time last_sent_at_;
+    output_queue output_;
     // Shared, so that a callback that closes the stream is not destroyed while it runs.
     std::shared_ptr<tcp_callbacks> callbacks_;
     std::optional<descriptor_watch> watch_;
--- a/include/agatespar/support/memory_budget.h
+++ b/include/agatespar/support/memory_budget.h
@@ -115,6 +115,7 @@
     memory_budget() = default;
     memory_budget(const memory_budget&) = delete;
     memory_budget& operator=(const memory_budget&) = delete;
+    ~memory_budget() = default;
 
     /// Changes the limit in bytes. What is reserved stays reserved.
     void set_limit(std::size_t bytes) { state_.limit = bytes; }
@@ -178,7 +179,9 @@
     bool try_reserve(std::size_t more);
     /// @return whether try_reserve() would succeed, without counting a failure.
     bool can_reserve(std::size_t more) const;
-    /// Appends bytes. Without an earlier try_reserve(), the capacity grows by these bytes only, whether it fits or not.
+    /// Reserves the next step of growth whether it fits or not.
+    void reserve(std::size_t more);
+    /// Appends bytes. Without an earlier reservation, the capacity grows by these bytes only, whether it fits or not.
     void append(std::string_view bytes);
     const std::string& bytes() const { return bytes_; }
     std::size_t reserved() const { return held_.bytes(); }
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -11,6 +11,8 @@
 // Maximum number of answers, interim ones or to other requests, that are skipped before the expected one. A connection
 // has few abandoned requests, and servers send few interim answers.
 static constexpr int max_skipped_answers = 16;
+// A body up to this size is copied into one buffer with the head, which is faster than a second buffer.
+static constexpr std::size_t max_joined_body_bytes = std::size_t{16} * 1024;
 static constexpr int status_continue = 100;
 static constexpr int first_final_status = 200;
 
@@ -74,6 +76,7 @@
         return tl::make_unexpected(stream.error());
     }
     stream_ = std::move(*stream);
+    stream_->count_output(pool_->memory_, memory_holder::server_output);
     opened_at_ = pool_->loop_.time().now();
     connect_timer_ = pool_->loop_.schedule(connect_timeout, [this] {
         const auto self = shared_from_this();
@@ -90,11 +93,16 @@
     stream_->set_callbacks(make_callbacks());
 }
 
-void client_call::send(const http_request_head& head, std::string_view body)
+void client_call::send(const client_request& request)
 {
-    head_request_ = head.method == "HEAD";
+    head_request_ = request.head.method == "HEAD";
     start_reading();
-    std::string message = write_request_head(head, body.size());
+    const std::string_view body = request.shared_body ? std::string_view{*request.shared_body} : request.body;
+    std::string message = write_request_head(request.head, body.size());
+    if (request.shared_body && body.size() > max_joined_body_bytes) {
+        stream_->write(message, request.shared_body);
+        return;
+    }
     message.append(body);
     stream_->write(message);
 }
@@ -212,7 +220,10 @@
     }
 }
 
-connection_pool::connection_pool(event_loop& loop, const pool_limits& limits) : loop_(loop), limits_(limits) {}
+connection_pool::connection_pool(event_loop& loop, const pool_limits& limits, std::shared_ptr<memory_budget> memory)
+    : loop_(loop), limits_(limits), memory_(std::move(memory))
+{
+}
 
 connection_pool::~connection_pool()
 {
@@ -242,7 +253,7 @@
             return tl::make_unexpected(opened.error());
         }
     }
-    call->send(request.head, request.body);
+    call->send(request);
     return call;
 }
 
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -6,8 +6,10 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <cerrno>
@@ -198,29 +200,92 @@
     if (!is_open() || bytes.empty()) {
         return;
     }
-    output_.append(bytes);
-    if (!connecting_) {
-        send_pending(false);
-    }
+    write(bytes, nullptr);
 }
 
-void tcp_stream::send_pending(bool was_waiting)
+void tcp_stream::write(std::string_view head, const std::shared_ptr<const std::string>& body)
 {
-    if (output_.empty()) {
+    if (!is_open() || broken_) {
         return;
     }
-    const ssize_t count = send(descriptor_, output_.data(), output_.size(), MSG_NOSIGNAL);
+    std::size_t sent = 0;
+    const bool was_empty = output_.empty();
+    if (was_empty && !connecting_) {
+        sent = send_now({head, body ? std::string_view{*body} : std::string_view{}});
+        if (broken_) {
+            return;
+        }
+    }
+    const std::size_t sent_of_head = std::min(sent, head.size());
+    output_.append(head.substr(sent_of_head));
+    if (body) {
+        output_.append(body, sent - sent_of_head);
+    }
+    if (output_.empty()) {
+        after_sending(false);
+    }
+    else if (was_empty) {
+        last_sent_at_ = loop_.time().now();
+        update_watch();
+    }
+}
+
+void tcp_stream::count_output(std::shared_ptr<memory_budget> budget, memory_holder holder)
+{
+    output_.count_in(std::move(budget), holder);
+}
+
+std::uint32_t tcp_stream::peer_address() const
+{
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    if (!is_open() || getpeername(descriptor_, reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+        return 0;
+    }
+    return ntohl(peer.sin_addr.s_addr);
+}
+
+std::size_t tcp_stream::send_now(const output_parts& parts)
+{
+    std::array<iovec, std::tuple_size_v<output_parts>> buffers{};
+    std::size_t used = 0;
+    for (const std::string_view part : parts) {
+        if (!part.empty()) {
+            // sendmsg() does not change the bytes.
+            buffers[used++] = {const_cast<char*>(part.data()), part.size()}; // NOLINT
+        }
+    }
+    msghdr message{};
+    message.msg_iov = buffers.data();
+    message.msg_iovlen = used;
+    const ssize_t count = sendmsg(descriptor_, &message, MSG_NOSIGNAL);
     if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) {
         // Reported from the loop and not from within write(), so that no callback destroys the caller of write().
         output_.clear();
         broken_ = true;
         shutdown(descriptor_, SHUT_RDWR);
         update_watch();
+        return 0;
+    }
+    if (count <= 0) {
+        return 0;
+    }
+    has_sent_ = true;
+    return static_cast<std::size_t>(count);
+}
+
+void tcp_stream::send_pending(bool was_waiting)
+{
+    if (output_.empty()) {
+        return;
+    }
+    const std::size_t count = send_now(output_.front());
+    if (broken_) {
         return;
     }
     if (count > 0) {
-        has_sent_ = true;
-        output_.erase(0, static_cast<std::size_t>(count));
+        last_sent_at_ = loop_.time().now();
+        output_.consume(count);
     }
     update_watch();
     if (output_.empty()) {
--- a/lib/support/memory_budget.cpp
+++ b/lib/support/memory_budget.cpp
@@ -210,6 +210,15 @@
     return true;
 }
 
+void budgeted_string::reserve(std::size_t more)
+{
+    const std::size_t needed = bytes_.size() + more;
+    if (needed > held_.bytes()) {
+        held_.resize(next_capacity(held_.bytes(), needed, expected_));
+        bytes_.reserve(held_.bytes());
+    }
+}
+
 void budgeted_string::append(std::string_view bytes)
 {
     const std::size_t needed = bytes_.size() + bytes.size();
