Keep what clients and servers make the gateway hold within the memory of its VM

Limits were per message only: many clients together exceeded memory_mb, and the platform ended the process. Unparsed input, bodies, buffered answers and output queues are now reserved in one budget per process, whose size follows from memory_mb of the settings file; without it there is no limit. If a reservation does not fit, stalled requests are evicted, then clients that read nothing for 10 s are closed, then the request that asks is refused with 503. A plain answer that does not fit pauses its server for up to 2 s. An answer to a request that may run only once is kept.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -54,6 +54,9 @@
     /// Bandwidth of this VM's network link in megabits per second, and its share of a CPU core.
     double link_mbps{0};
     double cpu_share{0};
+    /// Memory of this VM in MB, and the number of descriptors that the process may open; 0: no limit.
+    double memory_mb{0};
+    std::uint64_t max_fds{0};
     /// This is the first start of all VMs, so the list of VMs in the store is still empty.
     bool first_start{false};
     /// Minimum number of VMs that fleet-wide limits are divided among, as a VM does not know yet of those that have
@@ -74,6 +77,7 @@
 class gateway {
 public:
     /// Opens the listeners and starts to follow the store.
+    /// @param pool its memory budget, if it has one, is that of the clients too.
     /// @param on_stopped called when stop() has completed.
     /// @return the gateway, or an error if an address can't be used.
     static outcome<std::unique_ptr<gateway>> open(event_loop& loop, const gateway_settings& settings,
@@ -113,6 +117,10 @@
     void answer_readiness(const std::shared_ptr<server_exchange>& exchange) const;
     void answer_metrics(const std::shared_ptr<server_exchange>& exchange);
     void refresh_metrics();
+    void show_memory();
+    void limit_memory();
+    /// Logs when memory pressure begins and ends.
+    void check_memory_pressure();
     void handle_request(const std::shared_ptr<server_exchange>& exchange);
     void on_reachability_changed(fleet_topic topic, bool reachable, const std::string& reason, steady_time since);
     void apply_limits();
@@ -143,6 +151,7 @@
     metrics_registry metrics_;
     fleet_state fleet_;
     zone_reachability zones_;
+    pressure_state memory_pressure_;
     crash_guard crashes_;
     /// The verdicts that this VM changed last, the newest at the end.
     std::vector<gossip_item> own_verdicts_;
--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -5,8 +5,10 @@
 #include <agatespar/http/message_reader.h>
 #include <agatespar/http/tcp_stream.h>
 #include <agatespar/kernel/event_loop.h>
+#include <agatespar/support/memory_budget.h>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -28,19 +30,27 @@
 /// A request and its answer. The answer may be sent at once or in pieces, and after the handler has returned.
 class server_exchange : public std::enable_shared_from_this<server_exchange> {
 public:
-    server_exchange(std::shared_ptr<server_connection> connection, http_request_head head, std::string body,
-                    steady_time start_time);
+    server_exchange(std::shared_ptr<server_connection> connection, http_request_head head,
+                    std::shared_ptr<const std::string> body, steady_time start_time);
     server_exchange(const server_exchange&) = delete;
     server_exchange& operator=(const server_exchange&) = delete;
     ~server_exchange();
 
     const http_request_head& head() const { return head_; }
-    const std::string& body() const { return body_; }
+    const std::string& body() const { return *body_; }
+    /// @return the body for other owners. Its memory is reserved until the last one drops it.
+    const std::shared_ptr<const std::string>& shared_body() const { return body_; }
+    /// Drops the body. To be called when the request will not be sent again.
+    void release_body();
     /// @return when the first byte of the request arrived.
     steady_time start_time() const { return start_time_; }
 
     /// Sends the complete answer.
     void answer(const http_answer_head& head, std::string_view body);
+    /// Sends the complete answer, whose body is shared, not copied.
+    /// @param must_deliver the answer of a request that may not be repeated: the connection is not closed to free
+    /// memory while the client reads.
+    void answer_shared(const http_answer_head& head, std::shared_ptr<const std::string> body, bool must_deliver);
     /// Sends the head of an answer whose body follows in pieces.
     void begin(const http_answer_head& head);
     void send_chunk(std::string_view bytes);
@@ -61,12 +71,15 @@
 private:
     friend class server_connection;
     void notify_disconnect();
+    /// Sends the head and the body, which is in `shared` if that is not null.
+    void send_answer(const http_answer_head& head, std::string_view body, std::shared_ptr<const std::string> shared,
+                     bool must_deliver);
     void end(bool keep_alive);
     bool keeps_connection() const;
 
     std::shared_ptr<server_connection> connection_;
     http_request_head head_;
-    std::string body_;
+    std::shared_ptr<const std::string> body_;
     steady_time start_time_;
     bool answer_started_{false};
     std::function<void()> disconnect_callback_;
@@ -79,8 +92,11 @@
 class http_listener {
 public:
     static outcome<std::unique_ptr<http_listener>> open(event_loop& loop, const std::string& address,
-                                                        const server_limits& limits, exchange_callback handler);
-    http_listener(event_loop& loop, const server_limits& limits, exchange_callback handler);
+                                                        const server_limits& limits, exchange_callback handler,
+                                                        std::shared_ptr<memory_budget> memory = nullptr);
+    /// @param memory the budget for what clients send and don't read, or null.
+    http_listener(event_loop& loop, const server_limits& limits, exchange_callback handler,
+                  std::shared_ptr<memory_budget> memory);
     http_listener(const http_listener&) = delete;
     http_listener& operator=(const http_listener&) = delete;
     ~http_listener();
@@ -101,12 +117,22 @@
     /// @return the number of closing connections whose clients have not received the last bytes yet.
     std::size_t lingering() const;
 
+    /// Evicts stalled requests, then closes clients that read nothing, until there is room or none of these is left.
+    /// @param has_room whether there is enough room. @param asker is not evicted; may be null. @return has_room().
+    bool make_room(const std::function<bool()>& has_room, const server_connection* asker = nullptr);
+    /// Closes the clients that hold most unread bytes until there is room, except those that read the answer of a
+    /// request that may not be repeated. @return has_room().
+    bool close_most_unread(const std::function<bool()>& has_room);
+
 private:
     friend class server_connection;
+    bool evict_stalled(const server_connection* asker);
+    bool close_unread(duration min_time, memory_refusal reason, const server_connection* asker);
 
     event_loop& loop_;
     server_limits limits_;
     exchange_callback handler_;
+    std::shared_ptr<memory_budget> memory_;
     bool closing_{false};
     std::unique_ptr<tcp_listener> listener_;
     std::set<std::shared_ptr<server_connection>> connections_;
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -40,22 +40,25 @@
 {
     auto opened = std::make_unique<gateway>(loop, settings, protocol, store, pool, open_link, std::move(on_stopped));
     auto* self = opened.get();
-    auto front = http_listener::open(loop, settings.front_address, server_limits{},
-                                     [self](const auto& exchange) { self->handle_request(exchange); });
+    auto front = http_listener::open(
+        loop, settings.front_address, server_limits{}, [self](const auto& exchange) { self->handle_request(exchange); },
+        pool.memory());
     if (!front) {
         return tl::make_unexpected(front.error());
     }
     opened->front_ = std::move(*front);
     server_limits limits;
     limits.message = {readiness_header_bytes, 0};
-    auto readiness = http_listener::open(loop, settings.readiness_address, limits,
-                                         [self](const auto& exchange) { self->answer_readiness(exchange); });
+    auto readiness = http_listener::open(
+        loop, settings.readiness_address, limits, [self](const auto& exchange) { self->answer_readiness(exchange); },
+        pool.memory());
     if (!readiness) {
         return tl::make_unexpected(readiness.error());
     }
     opened->readiness_ = std::move(*readiness);
-    auto metrics_listener = http_listener::open(loop, settings.metrics_address, limits,
-                                                [self](const auto& exchange) { self->answer_metrics(exchange); });
+    auto metrics_listener = http_listener::open(
+        loop, settings.metrics_address, limits, [self](const auto& exchange) { self->answer_metrics(exchange); },
+        pool.memory());
     if (!metrics_listener) {
         return tl::make_unexpected(metrics_listener.error());
     }
@@ -74,6 +77,7 @@
       fleet_(store_, settings.rollouts, own_boot_id(settings.vm_name, loop))
 {
     make_followers(count_relay_bytes(open_link, metrics_));
+    limit_memory();
 }
 
 gateway::~gateway()
@@ -231,6 +235,7 @@
     count("agatespar_server_connections_reused_total", "Calls on kept connections.", pool_.counters().reused);
     count("agatespar_strange_answers_total", "Answers of other requests that were skipped.",
           pool_.counters().mismatched_answers);
+    show_memory();
     if (metrics_source_) {
         metrics_source_(metrics_);
     }
@@ -244,6 +249,7 @@
 void gateway::tick()
 {
     fleet_.tick(loop_.time().now());
+    check_memory_pressure();
     write_evidence_rows();
     write_reports();
     tick_timer_ = loop_.schedule(tick_interval, [this] { tick(); });
@@ -326,6 +332,8 @@
     settings_.rollouts = changed.rollouts;
     fleet_.change_rollout_settings(settings_.rollouts);
     relay_->set_own_capacity(changed.link_mbps, changed.cpu_share);
+    settings_.memory_mb = changed.memory_mb;
+    limit_memory();
     return has_other_addresses;
 }
 
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -56,6 +56,15 @@
     void release_unread_tokens();
     void on_head(const http_answer_head& head);
     void on_body(std::string_view bytes);
+    /// Reserves room for a plain answer of known length.
+    void expect_answer_length(const http_answer_head& head);
+    /// Appends to the plain answer. Pauses its server if there is no room.
+    void buffer_answer(std::string_view bytes);
+    /// Reserves room for more bytes of the plain answer. Pauses its server until there is room.
+    void reserve_answer(std::size_t more);
+    void retry_reservation(std::size_t more, steady_time paused_at);
+    /// Reserves the room, whether it fits or not, and reads on.
+    void resume_answer(std::size_t more);
     /// Restarts the measurement of how long the server has sent nothing.
     void record_progress();
     void on_done();
@@ -158,6 +167,8 @@
     int answered_probes_{0};
     /// The client reads too slowly, so reading from its server is paused.
     bool paused_for_client_{false};
+    /// Set while the reading of a plain answer is paused for lack of memory.
+    std::optional<timer_id> memory_timer_;
     int sends_{0};
     /// The servers that may have executed the request, one for each attempt that counts as a run.
     std::vector<std::shared_ptr<fleet_server>> runs_;
@@ -182,7 +193,7 @@
     duration first_byte_{0};
     request_report report_;
     http_answer_head head_;
-    std::string body_;
+    budgeted_string body_;
     event_splitter events_;
     bool is_streaming_{false};
     bool answer_started_{false};
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -7,13 +7,8 @@
 
 // Reading from the server is paused while more bytes than this wait to be sent to a slow client.
 static constexpr std::size_t max_unsent_bytes = 64 * 1024;
-// Limits on what is buffered; a larger answer or event is treated as endless. Plain answers have some kilobytes and
-// events some hundred bytes; the memory of a VM is about a hundred times the limit.
-static constexpr std::size_t max_buffered_answer_bytes = std::size_t{8} << 20U;
+// A larger event is treated as endless. Events have some hundred bytes.
 static constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
-// A buffered answer makes progress each time it grows by this: less than one TCP segment of any link, but more than a
-// server sends that delivers single bytes.
-static constexpr std::size_t progress_bytes = 1024;
 // A stream in progress is compared with the old version's once it has this many intervals between events: its median is
 // then little affected by single ones.
 static constexpr std::size_t min_intervals_for_pace = 4;
@@ -55,6 +50,11 @@
     progress_ = progress::may_have_run;
     head_ = head;
     record_model_latency(first_byte_);
+    if (!is_safe_to_retry(*route_) && exchange_->body().size() > small_reservation_bytes) {
+        // It is not sent again. The suspects are identified by the body.
+        suspects();
+        exchange_->release_body();
+    }
     const bool success = is_success(head.status);
     if (!success) {
         record_rollout_result(false);
@@ -81,6 +81,9 @@
         }
     }
     is_streaming_ = route_->kind == request_kind::streaming;
+    if (!is_streaming_) {
+        expect_answer_length(head);
+    }
     if (is_streaming_ && !answer_started_) {
         answer_started_ = true;
         http_answer_head forwarded = head;
@@ -118,14 +121,7 @@
     }
     server_->last_received_at = owner_.loop_.time().now();
     if (!is_streaming_) {
-        const std::size_t before = body_.size();
-        body_.append(bytes);
-        if (body_.size() / progress_bytes > before / progress_bytes) {
-            record_progress();
-        }
-        if (body_.size() > max_buffered_answer_bytes) {
-            on_failed({send_state::sent, "the answer has no end"});
-        }
+        buffer_answer(bytes);
         return;
     }
     const std::size_t completed_before = events_.completed();
@@ -190,7 +186,8 @@
     http_answer_head forwarded = head_;
     std::erase_if(forwarded.headers,
                   [this](const http_header& header) { return is_hop_by_hop(head_.headers, header.name); });
-    exchange_->answer(forwarded, body_);
+    body_.move_to(memory_holder::client_output);
+    exchange_->answer_shared(forwarded, share(std::move(body_)), !is_safe_to_retry(*route_));
     finish(head_.status, "answered");
 }
 
--- a/lib/gateway/transparent_request_crash.cpp
+++ b/lib/gateway/transparent_request_crash.cpp
@@ -42,7 +42,7 @@
         return false;
     }
     // A client that resumes a stream has had events of it.
-    const bool has_begun = events_.completed() > 0 || !body_.empty() || metadata_.last_event;
+    const bool has_begun = events_.completed() > 0 || !body_.bytes().empty() || metadata_.last_event;
     const bool leaves = !accepts_requests(*server_) || server_->presence != directory_presence::listed;
     return !has_begun && !leaves;
 }
@@ -157,7 +157,7 @@
 
 bool transparent_request::refuse_if_guilty()
 {
-    const bool has_begun = events_.completed() > 0 || !body_.empty();
+    const bool has_begun = events_.completed() > 0 || !body_.bytes().empty();
     if (has_begun || owner_.crashes_.size() == 0) {
         return false;
     }
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -136,13 +136,13 @@
     pace_ = {};
     sent_to_cold_server_ = server_->cold_until > attempt_started_at_;
     head_ = {};
-    body_.clear();
+    body_ = budgeted_string{owner_.pool_.memory(), memory_holder::answer};
     const http_request_head head = owner_.protocol_.write_attempt(exchange_->head(), describe_attempt(*server_));
     client_request request;
     request.key = server_->record.name.value();
     request.address = server_->record.address;
     request.head = head;
-    request.body = exchange_->body();
+    request.shared_body = exchange_->shared_body();
     const auto part_of_goal = route_->goal / connect_goal_divisor;
     request.connect_timeout = std::clamp(part_of_goal, min_connect_timeout, max_connect_timeout);
     // After a failure, any idle connection may be broken. If opening a new one fails, it is certain that nothing was
@@ -170,7 +170,7 @@
 
 void transparent_request::end_attempt(const char* outcome)
 {
-    cancel_timers({&silence_timer_, &slow_timer_});
+    cancel_timers({&silence_timer_, &slow_timer_, &memory_timer_});
     if (probe_) {
         probe_->cancel();
         probe_.reset();
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -17,7 +17,7 @@
     waiting.zone_suspected = owner_.zones_.is_avoided(server_->record.zone, owner_.loop_.time().now());
     waiting.server_last_received_at = server_->last_received_at;
     waiting.answered_probes = answered_probes_;
-    waiting.held_by_client = paused_for_client_;
+    waiting.held_by_client = paused_for_client_ || memory_timer_;
     const auto partial_head = call_ ? call_->partial_head_since() : std::nullopt;
     waiting.answer_begun = answer_started_ || partial_head;
     waiting.since = partial_head.value_or(last_progress_at_);
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -11,6 +11,8 @@
 static constexpr int first_status_with_body = 200;
 static constexpr int status_no_content = 204;
 static constexpr int status_not_modified = 304;
+// A body up to this size is copied into one buffer with the head, which is faster than a second buffer.
+static constexpr std::size_t max_joined_body_bytes = std::size_t{16} * 1024;
 
 http_answer_head local_answer_head(int status)
 {
@@ -55,7 +57,7 @@
 }
 
 server_exchange::server_exchange(std::shared_ptr<server_connection> connection, http_request_head head,
-                                 std::string body, steady_time start_time)
+                                 std::shared_ptr<const std::string> body, steady_time start_time)
     : connection_(std::move(connection)), head_(std::move(head)), body_(std::move(body)), start_time_(start_time)
 {
 }
@@ -66,7 +68,26 @@
     abort();
 }
 
+void server_exchange::release_body()
+{
+    static const auto empty = std::make_shared<const std::string>();
+    body_ = empty;
+}
+
 void server_exchange::answer(const http_answer_head& head, std::string_view body)
+{
+    send_answer(head, body, nullptr, false);
+}
+
+void server_exchange::answer_shared(const http_answer_head& head, std::shared_ptr<const std::string> body,
+                                    bool must_deliver)
+{
+    const std::string_view bytes = *body;
+    send_answer(head, bytes, bytes.size() > max_joined_body_bytes ? std::move(body) : nullptr, must_deliver);
+}
+
+void server_exchange::send_answer(const http_answer_head& head, std::string_view body,
+                                  std::shared_ptr<const std::string> shared, bool must_deliver)
 {
     if (connection_ == nullptr) {
         return;
@@ -76,11 +97,13 @@
     const bool keep_alive = !connection_->closes_after_answer();
     const bool bodiless =
         head.status < first_status_with_body || head.status == status_no_content || head.status == status_not_modified;
-    connection_->write(
-        write_answer_head(head, bodiless ? body_framing::none : body_framing::length, body.size(), keep_alive));
-    if (!bodiless && head_.method != "HEAD") {
-        connection_->write(body);
+    std::string message =
+        write_answer_head(head, bodiless ? body_framing::none : body_framing::length, body.size(), keep_alive);
+    const bool has_body = !bodiless && head_.method != "HEAD";
+    if (has_body && !shared) {
+        message.append(body);
     }
+    connection_->write(message, has_body ? std::move(shared) : nullptr, must_deliver);
     end(keep_alive);
 }
 
@@ -160,9 +183,10 @@
 }
 
 outcome<std::unique_ptr<http_listener>> http_listener::open(event_loop& loop, const std::string& address,
-                                                            const server_limits& limits, exchange_callback handler)
+                                                            const server_limits& limits, exchange_callback handler,
+                                                            std::shared_ptr<memory_budget> memory)
 {
-    auto listener = std::make_unique<http_listener>(loop, limits, std::move(handler));
+    auto listener = std::make_unique<http_listener>(loop, limits, std::move(handler), std::move(memory));
     auto* self = listener.get();
     auto opened = tcp_listener::open(loop, address, [self](std::shared_ptr<tcp_stream> stream) {
         const auto connection = std::make_shared<server_connection>(*self, std::move(stream));
@@ -176,8 +200,9 @@
     return listener;
 }
 
-http_listener::http_listener(event_loop& loop, const server_limits& limits, exchange_callback handler)
-    : loop_(loop), limits_(limits), handler_(std::move(handler))
+http_listener::http_listener(event_loop& loop, const server_limits& limits, exchange_callback handler,
+                             std::shared_ptr<memory_budget> memory)
+    : loop_(loop), limits_(limits), handler_(std::move(handler)), memory_(std::move(memory))
 {
 }
 
--- a/lib/http/server_connection.cpp
+++ b/lib/http/server_connection.cpp
@@ -21,8 +21,16 @@
 static constexpr int status_header_too_large = 431;
 
 server_connection::server_connection(http_listener& listener, std::shared_ptr<tcp_stream> stream)
-    : listener_(&listener), loop_(listener.loop_), stream_(std::move(stream))
+    : listener_(&listener), loop_(listener.loop_), stream_(std::move(stream)),
+      input_held_(listener.memory_, memory_holder::input)
 {
+    stream_->count_output(listener.memory_, memory_holder::client_output);
+}
+
+void server_connection::write(std::string_view head, const std::shared_ptr<const std::string>& body, bool must_deliver)
+{
+    is_protected_ = must_deliver || is_protected();
+    stream_->write(head, body);
 }
 
 void server_connection::start()
@@ -51,8 +59,16 @@
 void server_connection::on_bytes(std::string_view bytes)
 {
     input_.append(bytes);
+    last_progress_ = loop_.time().now();
+    const bool has_room = reserve_input();
     if (is_busy()) {
-        stream_->pause_reading(input_.size() > max_pipelined_bytes);
+        // The request that is being answered keeps its connection; the next one is read when there may be room again.
+        input_held_.resize(input_.capacity());
+        stream_->pause_reading(!has_room || input_.size() > max_pipelined_bytes);
+        return;
+    }
+    if (!has_room) {
+        refuse_for_memory(memory_refusal::request);
         return;
     }
     read_request();
@@ -64,10 +80,12 @@
         had_request_ = true;
         awaits_first_request_ = false;
         start_time_ = loop_.time().now();
-        body_.clear();
+        last_progress_ = start_time_;
+        body_ = budgeted_string{listener_->memory_, memory_holder::request_body};
+        has_room_ = true;
         reader_.emplace(listener_->limits_.message, message_callbacks<http_request_head>{
                                                         [this](http_request_head head) { take_head(std::move(head)); },
-                                                        [this](std::string_view bytes) { body_.append(bytes); }});
+                                                        [this](std::string_view bytes) { take_body(bytes); }});
         start_timer(listener_->limits_.request_timeout, status_timeout);
     }
     const outcome<void> result = reader_->feed(input_);
@@ -77,6 +95,10 @@
         refuse(large ? (header ? status_header_too_large : status_body_too_large) : status_bad_request);
         return;
     }
+    if (!has_room_) {
+        refuse_for_memory(memory_refusal::request);
+        return;
+    }
     if (reader_->is_done()) {
         dispatch_request();
     }
@@ -85,9 +107,15 @@
 void server_connection::take_head(http_request_head head)
 {
     head_keeps_alive_ = head.keep_alive;
+    const auto length = parse_number(find_header(head.headers, "content-length").value_or(""));
+    body_.expect(length ? static_cast<std::size_t>(*length) : 0);
     const auto expected = find_header(head.headers, "expect");
     if (expected && equal_without_case(*expected, "100-continue")) {
-        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        const auto fits = [this, length] { return body_.can_reserve(length.value_or(0)); };
+        has_room_ = listener_->make_room(fits, this);
+        if (has_room_) {
+            stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
     }
     head_ = std::move(head);
 }
@@ -101,17 +129,23 @@
         return;
     }
     const auto exchange =
-        std::make_shared<server_exchange>(shared_from_this(), std::move(head_), std::move(body_), start_time_);
+        std::make_shared<server_exchange>(shared_from_this(), std::move(head_), share(std::move(body_)), start_time_);
     head_ = {};
     body_ = {};
+    release_input();
     exchange_ = exchange;
     listener_->handler_(exchange);
 }
 
 void server_connection::refuse(int status)
+{
+    refuse(local_answer_head(status));
+}
+
+void server_connection::refuse(const http_answer_head& head)
 {
     stop_timer();
-    stream_->write(write_answer_head(local_answer_head(status), body_framing::length, 0, false));
+    stream_->write(write_answer_head(head, body_framing::length, 0, false));
     close_when_sent();
 }
 
