Read answers that must be kept in steps while they exceed the memory

After a pause of 2 s, such an answer was read completely, whatever the memory: 60 unread answers of 8 MB to requests that may run only once raised the peak to 142 MB on a VM of 112 MB. It now may use the allocator's part of the memory; beyond that, 64 KB are read after each pause.

--- a/include/agatespar/support/memory_budget.h
+++ b/include/agatespar/support/memory_budget.h
@@ -72,6 +72,8 @@
 
 /// @return whether a reservation may grow. @param before, after its size in bytes. Shrinking always fits.
 bool fits(const budget_state& state, std::size_t before, std::size_t after);
+/// @return whether what must be kept may grow beyond the limit: it may use the part for the allocator's overhead too.
+bool fits_if_kept(const budget_state& state, std::size_t more);
 /// @return the size of the budget in bytes on a VM. @param memory_mb the memory of the VM in MB; 0: no limit.
 std::size_t budget_bytes(double memory_mb);
 
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -63,7 +63,7 @@
     /// Reserves room for more bytes of the plain answer. Pauses its server until there is room.
     void reserve_answer(std::size_t more);
     void retry_reservation(std::size_t more, steady_time paused_at);
-    /// Reserves the room, whether it fits or not, and reads on.
+    /// Reserves room, whether it fits or not, and reads on.
     void resume_answer(std::size_t more);
     /// Restarts the measurement of how long the server has sent nothing.
     void record_progress();
--- a/lib/gateway/transparent_request_memory.cpp
+++ b/lib/gateway/transparent_request_memory.cpp
@@ -12,6 +12,8 @@
 static constexpr std::size_t progress_bytes = 1024;
 // A server aborts an answer that stays unread for some seconds.
 static constexpr std::chrono::milliseconds max_server_pause{2000};
+// Part of an answer that must be kept and that is read at a time while there is no room.
+static constexpr std::size_t kept_step_bytes = std::size_t{64} * 1024;
 // Interval at which a paused answer looks for room.
 static constexpr std::chrono::milliseconds reservation_interval{20};
 
@@ -68,11 +70,18 @@
         });
         return;
     }
-    // The answer of a request that may run only once is always kept.
-    if (owner_.front_->close_most_unread(has_room) || !is_safe_to_retry(*route_)) {
+    const bool must_keep = !is_safe_to_retry(*route_);
+    if (owner_.front_->close_most_unread(has_room) ||
+        (must_keep && fits_if_kept(owner_.pool_.memory()->state(), more))) {
         resume_answer(more);
         return;
     }
+    if (must_keep) {
+        // Reads a part and pauses again, so that neither the server aborts the answer nor many of them exceed the
+        // memory.
+        resume_answer(std::min(more, kept_step_bytes));
+        return;
+    }
     owner_.pool_.memory()->count_refusal(memory_refusal::answer);
     answer_error(502, "there is no memory for the answer");
 }
--- a/lib/support/memory_budget.cpp
+++ b/lib/support/memory_budget.cpp
@@ -53,6 +53,11 @@
     return large_part(after) == 0 || state.reserved_large - large_part(before) + after <= large_limit;
 }
 
+bool fits_if_kept(const budget_state& state, std::size_t more)
+{
+    return static_cast<double>(state.reserved + more) <= static_cast<double>(state.limit) / usable_share;
+}
+
 std::size_t budget_bytes(double memory_mb)
 {
     if (memory_mb <= 0) {
--- a/unittests/support/memory_budget_test.cpp
+++ b/unittests/support/memory_budget_test.cpp
@@ -45,6 +45,8 @@
             memory_reservation kept{budget, memory_holder::answer};
             kept.resize(60 * mb);
             CHECK(budget->state().reserved == 88 * mb);
+            CHECK(fits_if_kept({30 * mb, 35 * mb, 0}, 5 * mb));
+            CHECK_FALSE(fits_if_kept({30 * mb, 35 * mb, 0}, 6 * mb));
             CHECK_FALSE(memory_reservation{budget, memory_holder::input}.try_resize(1));
         }
     }
