--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -191,8 +191,10 @@
         head.headers.push_back({"Retry-After", seconds.data()});
     }
     head.headers.push_back({"Content-Type", "text/plain"});
-    exchange_->answer(head, std::string{reason} + "\n");
+    // Reported first, so that the log names the cause by the time the client has the answer.
+    const auto self = shared_from_this();
     finish(status, reason);
+    exchange_->answer(head, std::string{reason} + "\n");
 }
 
 void transparent_request::abort_answer(const char* reason)
