Bound what all callers of the HTTP API hold together

The limits on bodies (1 MiB) and on unread answers (4 MiB) were per request, so many callers within the limits could use up the memory of the VM. 150 callers with bodies that stop 3 bytes short raised the peak by 156 MiB. Connections were limited by refusing requests after their bodies had been read, with 429.

The bytes of bodies and unread answers are counted in one number with a bound (--client-memory, 256 MiB by default; a quarter is kept for requests and answers of at most 64 KiB). A body for which there is no room is refused with 503 and Retry-After before it is read; the rest is read and discarded, so that no reset destroys the answer. Over TLS the refusal comes after the body. A stream that finds no room is ended; a complete answer is always kept. The exchange moves into a file of its own.

test/hostile_test.py WhenManyClientsHoldMemory passes with 16 MiB; without an effective bound it fails with a growth of 156 and 145 MiB against the allowed 64 MiB.

--- a/include/agatespar/frontend/http_server.h
+++ b/include/agatespar/frontend/http_server.h
@@ -28,7 +28,11 @@
     /// Maximum time from the first byte of a connection, or the end of the previous response, to the end of a request.
     /// A connection that exceeds it is closed.
     std::chrono::seconds request_timeout{20};
+    /// Beyond it, a new connection closes the one that has been idle longest, or is closed without having been read.
     std::size_t max_connections{4096};
+    /// Maximum number of bytes that the bodies of requests and the unread answers of all callers hold together. A body
+    /// for which there is no room is refused, and a stream whose caller does not read is ended.
+    std::size_t max_held_bytes{std::size_t{256} << 20U};
     /// Maximum number of response bytes that a slow caller has not read yet. Above it, the caller is disconnected.
     std::size_t max_unsent_bytes{std::size_t{4} << 20U};
 };
@@ -40,7 +44,11 @@
     /// Requests whose head does not tell where they end.
     std::uint64_t undelimited{0};
     std::uint64_t timed_out{0};
+    /// New connections that were closed without having been read, and idle ones that gave way to a new one.
     std::uint64_t over_connection_limit{0};
+    std::uint64_t evicted_connections{0};
+    /// Requests for whose body there was no room.
+    std::uint64_t without_room{0};
     std::uint64_t slow_readers_disconnected{0};
     std::uint64_t open_connections{0};
 };
@@ -93,6 +101,8 @@
     /// @return "ip:port" with the actual port.
     const std::string& address() const;
     const http_server_counters& counters() const;
+    /// @return the bytes that requests and unread answers hold.
+    std::size_t held() const;
 
 private:
     struct impl;
--- a/include/agatespar/node/settings.h
+++ b/include/agatespar/node/settings.h
@@ -7,6 +7,7 @@
 #include <agatespar/wire/frame.h>
 
 #include <chrono>
+#include <cstddef>
 #include <map>
 #include <string>
 #include <string_view>
@@ -55,6 +56,9 @@
     std::string port_file;
     std::chrono::milliseconds notice_time{};
     std::chrono::milliseconds drain_time{};
+    /// Maximum number of bytes that requests and unread answers of all callers hold together.
+    std::size_t client_memory_bytes{0};
+    std::size_t max_connections{0};
 };
 
 using environment = std::map<std::string, std::string>;
--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -1,164 +1,46 @@
 // An HTTP server based on libsoup, with limits on the size of requests and on unread response data.
+#include "held_bytes.h"
 #include "request_framing.h"
+#include "soup_exchange.h"
 
 #include <agatespar/frontend/http_server.h>
+#include <agatespar/http/connection_limit.h>
 #include <agatespar/kernel/event_loop.h>
 
 #include <libsoup/soup.h>
 
-#include <cassert>
+#include <algorithm>
 #include <unordered_map>
+#include <vector>
 
 namespace agatespar {
 
-// RFC 6585, section 4. libsoup does not define this status.
-static constexpr int status_too_many_requests = 429;
+// A refused caller may try again after this time: bodies and answers of ordinary callers are held for less.
+static constexpr std::chrono::seconds retry_delay{1};
 
 namespace {
 
-/// The response side of one libsoup message.
-class soup_exchange final : public http_exchange {
-public:
-    soup_exchange(SoupServerMessage* message, std::string body, std::size_t max_unsent, http_server_counters& counters)
-        : message_(SOUP_SERVER_MESSAGE(g_object_ref(message))), method_(soup_server_message_get_method(message)),
-          path_(g_uri_get_path(soup_server_message_get_uri(message))), body_(std::move(body)), max_unsent_(max_unsent),
-          counters_(counters),
-          finished_signal_(g_signal_connect(message_, "finished", G_CALLBACK(&soup_exchange::handle_finished), this)),
-          wrote_signal_(
-              g_signal_connect(message_, "wrote-body-data", G_CALLBACK(&soup_exchange::handle_wrote_data), this))
-    {
-    }
-    soup_exchange(const soup_exchange&) = delete;
-    soup_exchange& operator=(const soup_exchange&) = delete;
-    ~soup_exchange() override
-    {
-        g_signal_handler_disconnect(message_, finished_signal_);
-        g_signal_handler_disconnect(message_, wrote_signal_);
-        if (!answered_ && !disconnected_) {
-            abort();
-        }
-        g_object_unref(message_);
-    }
-
-    const std::string& method() const override { return method_; }
-    const std::string& path() const override { return path_; }
-    const std::string& body() const override { return body_; }
-
-    std::optional<std::string> header(const char* name) const override
-    {
-        const char* value = soup_message_headers_get_list(soup_server_message_get_request_headers(message_), name);
-        return value == nullptr ? std::nullopt : std::optional<std::string>{value};
-    }
-
-    void set_header(const char* name, const std::string& value) override
-    {
-        soup_message_headers_replace(response_headers(), name, value.c_str());
-    }
-
-    void respond(int status, const char* content_type, std::string body) override
-    {
-        if (disconnected_) {
-            return;
-        }
-        assert(!answered_ && "an exchange is answered once");
-        answered_ = true;
-        soup_server_message_set_status(message_, static_cast<guint>(status), nullptr);
-        soup_server_message_set_response(message_, content_type, SOUP_MEMORY_COPY, body.data(), body.size());
-        soup_server_message_unpause(message_);
-    }
-
-    void start_stream(int status, const char* content_type) override
-    {
-        if (disconnected_) {
-            return;
-        }
-        soup_server_message_set_status(message_, static_cast<guint>(status), nullptr);
-        soup_message_headers_set_content_type(response_headers(), content_type, nullptr);
-        soup_message_headers_set_encoding(response_headers(), SOUP_ENCODING_CHUNKED);
-        soup_message_body_set_accumulate(response_body(), FALSE);
-        soup_server_message_unpause(message_);
-    }
-
-    void write(std::string piece) override
-    {
-        if (disconnected_ || piece.empty()) {
-            return;
-        }
-        unsent_ += piece.size();
-        if (unsent_ > max_unsent_) {
-            ++counters_.slow_readers_disconnected;
-            abort();
-            return;
-        }
-        soup_message_body_append(response_body(), SOUP_MEMORY_COPY, piece.data(), piece.size());
-        soup_server_message_unpause(message_);
-    }
-
-    void finish_stream() override
-    {
-        if (disconnected_) {
-            return;
-        }
-        answered_ = true;
-        soup_message_body_complete(response_body());
-        soup_server_message_unpause(message_);
-    }
-
-    void abort() override
-    {
-        if (disconnected_) {
-            return;
-        }
-        answered_ = true;
-        if (GSocket* socket = soup_server_message_get_socket(message_); socket != nullptr) {
-            g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-        }
-        soup_server_message_unpause(message_);
-    }
-
-    void on_disconnect(std::function<void()> callback) override { disconnect_callback_ = std::move(callback); }
-
-private:
-    SoupMessageHeaders* response_headers() { return soup_server_message_get_response_headers(message_); }
-    SoupMessageBody* response_body() { return soup_server_message_get_response_body(message_); }
-
-    static void handle_finished(SoupServerMessage* /*message*/, gpointer data)
-    {
-        auto* self = static_cast<soup_exchange*>(data);
-        self->disconnected_ = true;
-        // Moved out first, since the callback may release the last reference to this exchange.
-        const auto callback = std::move(self->disconnect_callback_);
-        if (callback && !self->answered_) {
-            callback();
-        }
-    }
-    static void handle_wrote_data(SoupServerMessage* /*message*/, guint size, gpointer data)
-    {
-        auto* self = static_cast<soup_exchange*>(data);
-        self->unsent_ -= std::min<std::size_t>(self->unsent_, size);
-    }
-
-    SoupServerMessage* message_;
-    std::string method_;
-    std::string path_;
-    std::string body_;
-    std::size_t max_unsent_;
-    http_server_counters& counters_;
-    std::size_t unsent_{0};
-    bool answered_{false};
-    bool disconnected_{false};
-    gulong finished_signal_;
-    gulong wrote_signal_;
-    std::function<void()> disconnect_callback_;
-};
-
 /// The received part of a request that is not complete yet.
 struct incoming_request {
     std::string body;
+    byte_reservation body_held;
+    std::shared_ptr<unread_answer> answer;
+    /// When the connection was accepted, or its previous answer ended.
+    steady_time since;
+    bool has_head{false};
+    /// Its connection has been closed in favour of another one, or without having been read.
+    bool is_closed{false};
     bool too_large{false};
+    /// There was no room for its body; it is refused, and the rest of its body is read and discarded.
+    bool without_room{false};
     /// Its head does not tell where it ends; it is refused and must not be passed on.
     bool undelimited{false};
-    timer_id timeout;
+    timer_id timeout{0};
+
+    explicit incoming_request(const std::shared_ptr<held_bytes>& held)
+        : body_held(held), answer(std::make_shared<unread_answer>(unread_answer{byte_reservation{held}}))
+    {
+    }
 };
 
 } // namespace
@@ -171,15 +53,23 @@
     std::string address;
     http_server_counters counters;
     std::unordered_map<SoupServerMessage*, incoming_request> incoming;
+    std::shared_ptr<held_bytes> held;
+    std::size_t closed_connections{0};
 
     impl(event_loop& event_loop, http_server_settings initial, exchange_handler on_request)
-        : loop(event_loop), settings(std::move(initial)), handler(std::move(on_request))
+        : loop(event_loop), settings(std::move(initial)), handler(std::move(on_request)),
+          held(std::make_shared<held_bytes>(held_bytes{settings.max_held_bytes}))
     {
     }
 
     outcome<void> listen();
     outcome<void> load_certificate();
     void start_request(SoupServerMessage* message);
+    bool make_room(SoupServerMessage* message);
+    void close_connection(SoupServerMessage* message);
+    void check_room(SoupServerMessage* message, std::size_t body_bytes);
+    bool hold_body(SoupServerMessage* message, incoming_request& request, std::size_t needed);
+    void refuse_without_room(SoupServerMessage* message);
     void disconnect_slow_request(SoupServerMessage* message);
     void answer(SoupServerMessage* message);
     void forget(SoupServerMessage* message);
@@ -195,6 +85,7 @@
     static void handle_got_headers(SoupServerMessage* message, gpointer data);
     static void handle_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data);
     static void handle_got_body(SoupServerMessage* message, gpointer data);
+    static void handle_wrote_data(SoupServerMessage* message, guint size, gpointer data);
     static void handle_finished(SoupServerMessage* message, gpointer data);
     static void handle_request(SoupServer* /*server*/, SoupServerMessage* message, const char* /*path*/,
                                GHashTable* /*query*/, gpointer data)
@@ -203,6 +94,27 @@
     }
 };
 
+/// @return the body of an answer with an error. @param retry_after_ms milliseconds, or "null".
+static std::string error_body(const std::string& code, const std::string& text, const std::string& retry_after_ms)
+{
+    return R"({"error":{"code":")" + code + R"(","message":")" + text + R"(","ran":"not_run","retry_after_ms":)" +
+           retry_after_ms + R"(,"request_id":null}})" + "\n";
+}
+
+static void refuse(SoupServerMessage* message, int status, const char* code, const char* text,
+                   const std::string& retry_after_ms = "null")
+{
+    const std::string body = error_body(code, text, retry_after_ms);
+    soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
+    soup_message_headers_append(soup_server_message_get_response_headers(message), "Connection", "close");
+    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
+}
+
+static std::string delay_ms_text()
+{
+    return std::to_string(std::chrono::milliseconds{retry_delay}.count());
+}
+
 static tl::unexpected<error> glib_failure(error_code code, const std::string& action, GError* problem)
 {
     std::string message = action + ": " + problem->message;
@@ -269,7 +181,8 @@
 void http_server::impl::start_request(SoupServerMessage* message)
 {
     ++counters.open_connections;
-    incoming_request& request = incoming[message];
+    incoming_request& request = incoming.emplace(message, held).first->second;
+    request.since = loop.time().now();
     request.timeout = loop.schedule(settings.request_timeout, [this, message] { disconnect_slow_request(message); });
     soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
     // libsoup frees the message of a request whose head it refuses without the signal "finished".
@@ -277,7 +190,46 @@
     g_signal_connect(message, "got-headers", G_CALLBACK(&impl::handle_got_headers), this);
     g_signal_connect(message, "got-chunk", G_CALLBACK(&impl::handle_got_chunk), this);
     g_signal_connect(message, "got-body", G_CALLBACK(&impl::handle_got_body), this);
+    g_signal_connect(message, "wrote-body-data", G_CALLBACK(&impl::handle_wrote_data), this);
     g_signal_connect(message, "finished", G_CALLBACK(&impl::handle_finished), this);
+    if (!make_room(message)) {
+        ++counters.over_connection_limit;
+        close_connection(message);
+    }
+}
+
+/// Closes the connections that have been idle longest until a new one is within the limit. @return whether it is.
+bool http_server::impl::make_room(SoupServerMessage* message)
+{
+    while (incoming.size() - closed_connections > settings.max_connections) {
+        std::vector<SoupServerMessage*> messages;
+        std::vector<connection_state> states;
+        for (const auto& [other, request] : incoming) {
+            GSocket* socket = soup_server_message_get_socket(other);
+            // libsoup does not tell whether a part of a head has arrived, so such a connection counts as idle.
+            const bool is_idle = !request.has_head && !request.is_closed && other != message && socket != nullptr &&
+                                 g_socket_get_available_bytes(socket) <= 0;
+            messages.push_back(other);
+            states.push_back({is_idle ? client_activity::idle : client_activity::in_request, request.since});
+        }
+        const auto chosen = choose_evicted(states, loop.time().now());
+        if (!chosen) {
+            return false;
+        }
+        ++counters.evicted_connections;
+        close_connection(messages[*chosen]);
+    }
+    return true;
+}
+
+/// libsoup notices the end of the connection in the next iteration of the loop.
+void http_server::impl::close_connection(SoupServerMessage* message)
+{
+    incoming.at(message).is_closed = true;
+    ++closed_connections;
+    if (GSocket* socket = soup_server_message_get_socket(message); socket != nullptr) {
+        g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+    }
 }
 
 void http_server::impl::disconnect_slow_request(SoupServerMessage* message)
@@ -292,9 +244,11 @@
 {
     auto* self = static_cast<impl*>(data);
     SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+    incoming_request& request = self->incoming.at(message);
+    request.has_head = true;
     if (!is_delimited(message)) {
         ++self->counters.undelimited;
-        self->incoming[message].undelimited = true;
+        request.undelimited = true;
         refuse_undelimited(message);
         return;
     }
@@ -305,29 +259,83 @@
     const bool has_length = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
     const goffset length = has_length ? soup_message_headers_get_content_length(headers) : 0;
     if (length > static_cast<goffset>(self->settings.max_body_bytes)) {
-        self->incoming[message].too_large = true;
+        request.too_large = true;
+        return;
+    }
+    const bool has_chunks = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED;
+    if (length > 0 || has_chunks) {
+        self->check_room(message, std::max<std::size_t>(static_cast<std::size_t>(length), 1));
+    }
+}
+
+/// Refuses a request for whose body there is no room, before the body is read.
+void http_server::impl::check_room(SoupServerMessage* message, std::size_t body_bytes)
+{
+    if (!held->has_room(body_bytes, body_bytes)) {
+        refuse_without_room(message);
     }
 }
 
+/// Makes room for a body of the needed size. @return whether there was room.
+bool http_server::impl::hold_body(SoupServerMessage* message, incoming_request& request, std::size_t needed)
+{
+    if (needed <= request.body_held.bytes()) {
+        return true;
+    }
+    SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+    const bool has_length = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
+    const std::size_t expected = has_length ? static_cast<std::size_t>(soup_message_headers_get_content_length(headers))
+                                            : settings.max_body_bytes;
+    // The capacity doubles, so that a body in many pieces is copied a few times only, but not beyond its length.
+    const std::size_t doubled = std::min(std::max(needed, 2 * request.body_held.bytes()), std::max(expected, needed));
+    if (!request.body_held.grow_to(doubled, needed) && !request.body_held.grow_to(needed, needed)) {
+        return false;
+    }
+    request.body.reserve(request.body_held.bytes());
+    return true;
+}
+
 void http_server::impl::handle_got_chunk(SoupServerMessage* message, GBytes* chunk, gpointer data)
 {
     auto* self = static_cast<impl*>(data);
-    incoming_request& request = self->incoming[message];
+    incoming_request& request = self->incoming.at(message);
+    if (request.without_room) {
+        return;
+    }
     gsize size = 0;
     const auto* bytes = static_cast<const char*>(g_bytes_get_data(chunk, &size));
     if (request.too_large || request.body.size() + size > self->settings.max_body_bytes) {
         request.too_large = true;
         request.body.clear();
         request.body.shrink_to_fit();
+        request.body_held.set(0);
+        return;
+    }
+    if (!self->hold_body(message, request, request.body.size() + size)) {
+        self->refuse_without_room(message);
         return;
     }
     request.body.append(bytes, size);
 }
 
+void http_server::impl::handle_wrote_data(SoupServerMessage* message, guint size, gpointer data)
+{
+    auto* self = static_cast<impl*>(data);
+    const auto found = self->incoming.find(message);
+    if (found == self->incoming.end()) {
+        return;
+    }
+    unread_answer& answer = *found->second.answer;
+    // A complete answer is freed as a whole.
+    if (answer.in_pieces) {
+        answer.held.set(answer.held.bytes() - std::min<std::size_t>(answer.held.bytes(), size));
+    }
+}
+
 void http_server::impl::handle_got_body(SoupServerMessage* message, gpointer data)
 {
     auto* self = static_cast<impl*>(data);
-    self->loop.cancel(self->incoming[message].timeout);
+    self->loop.cancel(self->incoming.at(message).timeout);
 }
 
 void http_server::impl::handle_finished(SoupServerMessage* message, gpointer data)
@@ -347,23 +355,32 @@
         return;
     }
     loop.cancel(found->second.timeout);
+    closed_connections -= found->second.is_closed ? 1 : 0;
     incoming.erase(found);
     --counters.open_connections;
 }
 
-static void refuse(SoupServerMessage* message, int status, const char* code, const char* text)
+void http_server::impl::refuse_without_room(SoupServerMessage* message)
 {
-    const std::string body = std::string{R"({"error":{"code":")"} + code + R"(","message":")" + text +
-                             R"(","ran":"not_run","retry_after_ms":null,"request_id":null}})" + "\n";
-    soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
-    soup_message_headers_append(soup_server_message_get_response_headers(message), "Connection", "close");
-    soup_server_message_set_response(message, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
+    incoming_request& request = incoming.at(message);
+    ++counters.without_room;
+    request.without_room = true;
+    request.body.clear();
+    request.body.shrink_to_fit();
+    request.body_held.set(0);
+    // The bytes of an encrypted connection belong to its library, so its caller gets the answer after the body.
+    if (settings.tls_certificate_file.empty()) {
+        const std::string body = error_body("overloaded", "too many requests are held", delay_ms_text());
+        send_early(message, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: " +
+                                std::to_string(retry_delay.count()) + "\r\nConnection: close\r\nContent-Length: " +
+                                std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
 }
 
 void http_server::impl::answer(SoupServerMessage* message)
 {
     ++counters.requests;
-    incoming_request& request = incoming[message];
+    incoming_request& request = incoming.at(message);
     if (request.undelimited) {
         refuse(message, SOUP_STATUS_BAD_REQUEST, "malformed", "the request can't be delimited");
         return;
@@ -373,13 +390,15 @@
         refuse(message, SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE, "too_large", "the request body is too large");
         return;
     }
-    if (counters.open_connections > settings.max_connections) {
-        ++counters.over_connection_limit;
-        refuse(message, status_too_many_requests, "overloaded", "too many connections");
+    if (request.without_room) {
+        soup_message_headers_replace(soup_server_message_get_response_headers(message), "Retry-After",
+                                     std::to_string(retry_delay.count()).c_str());
+        refuse(message, SOUP_STATUS_SERVICE_UNAVAILABLE, "overloaded", "too many requests are held", delay_ms_text());
         return;
     }
     soup_server_message_pause(message);
-    handler(std::make_shared<soup_exchange>(message, std::move(request.body), settings.max_unsent_bytes, counters));
+    handler(std::make_shared<soup_exchange>(message, std::move(request.body), std::move(request.body_held),
+                                            request.answer, settings.max_unsent_bytes, counters));
 }
 
 outcome<std::unique_ptr<http_server>> http_server::open(event_loop& loop, const http_server_settings& settings,
@@ -412,6 +431,11 @@
     return impl_->address;
 }
 
+std::size_t http_server::held() const
+{
+    return impl_->held->held;
+}
+
 const http_server_counters& http_server::counters() const
 {
     return impl_->counters;
--- a/lib/frontend/request_framing.cpp
+++ b/lib/frontend/request_framing.cpp
@@ -28,6 +28,15 @@
            soup_message_headers_get_list(headers, "Content-Length") == nullptr;
 }
 
+void send_early(SoupServerMessage* message, std::string_view answer)
+{
+    if (GSocket* socket = soup_server_message_get_socket(message); socket != nullptr) {
+        // A client that does not take these few bytes only sees the end of the connection.
+        g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
+        g_socket_shutdown(socket, FALSE, TRUE, nullptr);
+    }
+}
+
 void refuse_undelimited(SoupServerMessage* message)
 {
     static constexpr std::string_view answer =
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -2,6 +2,7 @@
 #include "node_services.h"
 #include "session_codec.h"
 
+#include <agatespar/http/connection_limit.h>
 #include <agatespar/platform/http_engine.h>
 #include <agatespar/platform/http_log.h>
 #include <agatespar/platform/http_plain_service.h>
@@ -201,6 +202,10 @@
     server_settings.listen_address = settings.listen;
     server_settings.tls_certificate_file = settings.tls_certificate_file;
     server_settings.tls_key_file = settings.tls_key_file;
+    server_settings.max_held_bytes = settings.client_memory_bytes;
+    const std::size_t descriptors = process_descriptor_limit();
+    server_settings.max_connections =
+        std::min(settings.max_connections, client_connection_limit(descriptors, descriptors));
     auto opened = http_server::open(
         loop, server_settings, [this](const std::shared_ptr<http_exchange>& exchange) { handle_exchange(exchange); });
     if (!opened) {
--- a/lib/node/node_status.cpp
+++ b/lib/node/node_status.cpp
@@ -230,6 +230,18 @@
                http_counters.undelimited);
     set_metric(metrics, "agatespar_http_timed_out_total", "HTTP requests that came too slowly.",
                http_counters.timed_out);
+    set_metric(metrics, "agatespar_http_without_room_total", "HTTP requests refused as too many bytes were held.",
+               http_counters.without_room);
+    set_metric(metrics, "agatespar_http_slow_readers_total", "Callers disconnected as they did not read their streams.",
+               http_counters.slow_readers_disconnected);
+    set_metric(metrics, "agatespar_http_connections_evicted_total", "Idle connections closed in favour of new ones.",
+               http_counters.evicted_connections);
+    set_metric(metrics, "agatespar_http_connections_refused_total", "Connections closed without having been read.",
+               http_counters.over_connection_limit);
+    metrics.make_gauge("agatespar_http_connections", "Open connections of callers.")
+        .set(static_cast<double>(http_counters.open_connections));
+    metrics.make_gauge("agatespar_http_held_bytes", "Bytes that requests and unread answers hold.")
+        .set(static_cast<double>(server->held()));
     return render_prometheus(metrics);
 }
 
--- a/lib/node/settings.cpp
+++ b/lib/node/settings.cpp
@@ -13,6 +13,10 @@
 static constexpr std::string_view environment_prefix = "AGATESPAR_";
 static constexpr std::size_t min_session_secret = 16;
 static constexpr std::int64_t max_seconds = 24LL * 3600;
+// Far above what a VM has, so that a mistyped number is noticed.
+static constexpr std::uint32_t max_client_memory_mib = 1U << 20U;
+static constexpr std::uint32_t max_connection_count = 1U << 20U;
+static constexpr unsigned mebibyte_shift = 20;
 
 namespace {
 
@@ -42,6 +46,8 @@
         {"port-file", "FILE", "", false, "file that gets the chosen addresses as JSON after the start"},
         {"notice-time", "SECONDS", "5", false, "how long a stopping VM keeps serving until the balancer notices"},
         {"drain-time", "SECONDS", "600", false, "how long a stopping VM waits for running requests"},
+        {"client-memory", "MIB", "256", false, "what requests and unread answers of all callers hold at most"},
+        {"max-connections", "NUMBER", "4096", false, "maximum number of callers' connections"},
     };
     return settings;
 }
@@ -228,6 +234,18 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>{seconds});
 }
 
+static outcome<std::uint32_t> parse_count(const setting_values& values, const char* name, std::uint32_t max)
+{
+    const std::string& text = values.find(name)->second;
+    std::uint32_t count = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, problem] = std::from_chars(text.data(), end, count);
+    if (problem != std::errc{} || stop != end || count < 1 || count > max) {
+        return bad_setting(name, "'" + text + "' is not a number from 1 to " + std::to_string(max));
+    }
+    return count;
+}
+
 static outcome<zone_id> parse_zone(const std::string& text)
 {
     const std::size_t slash = text.find('/');
@@ -299,8 +317,16 @@
             settings.notice_time = time;
             return parse_seconds(values, "drain-time");
         })
-        .map([&](std::chrono::milliseconds time) {
+        .and_then([&](std::chrono::milliseconds time) {
             settings.drain_time = time;
+            return parse_count(values, "client-memory", max_client_memory_mib);
+        })
+        .and_then([&](std::uint32_t mebibytes) {
+            settings.client_memory_bytes = std::size_t{mebibytes} << mebibyte_shift;
+            return parse_count(values, "max-connections", max_connection_count);
+        })
+        .map([&](std::uint32_t connections) {
+            settings.max_connections = connections;
             copy_texts(values, settings);
             return settings;
         });
--- a/test/hostile_test.py
+++ b/test/hostile_test.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import subprocess
+import time
 import unittest
 
 from harness.fleet import KOVACIC_KEY, VM_KEY, Fleet, is_complete, key_hash
@@ -14,6 +15,7 @@
 MEBIBYTE = 1 << 20
 ROUNDS = 1000
 ALLOWED_GROWTH_KIB = 64 * 1024
+SETTLING_S = 3
 
 
 def connect(address):
@@ -204,6 +206,45 @@
         wait_until(lambda: self.fleet.running("vm-1") == 0, "no running requests")
 
 
+class WhenManyClientsHoldMemory(unittest.TestCase):
+    """Guards against requests, each within the limits, that together exceed the memory of the VM."""
+
+    CLIENTS = 150
+    CLIENT_MEMORY = "--client-memory=16"
+    check_still_serves = AttackedVm.check_still_serves
+
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
+        self.fleet.start_one_zone()
+        self.address = self.fleet.start_daemon("kovacic", "centre", "vm-1", self.CLIENT_MEMORY)
+        self.fleet.wait_serving("vm-1", servers=2)
+
+    def peak_memory(self):
+        with open(f"/proc/{self.fleet.processes['vm-1'].pid}/status", encoding="ascii") as status:
+            return next(int(line.split()[1]) for line in status if line.startswith("VmHWM:"))
+
+    def check_with_clients(self, message):
+        before = self.peak_memory()
+        connections = [self.enterContext(connect(self.address)) for _ in range(self.CLIENTS)]
+        for connection in connections:
+            send_all(connection, message)
+        self.check_still_serves()
+        # Until then, the daemon has read all that it accepts.
+        time.sleep(SETTLING_S)
+        self.assertLess(self.peak_memory() - before, ALLOWED_GROWTH_KIB)
+        return connections
+
+    def test_bodies_that_stop_before_their_end(self):
+        connections = self.check_with_clients(head(MEBIBYTE) + b"b" * (MEBIBYTE - 3))
+        first_line, *fields = connections[-1].recv(65536).split(b"\r\n")
+        self.assertEqual(first_line, b"HTTP/1.1 503 Service Unavailable")
+        self.assertIn(b"Retry-After: 1", fields)
+
+    def test_chunked_bodies_that_stop_before_their_end(self):
+        start = b"POST " + CHAT.encode() + b" HTTP/1.1\r\nHost: vm\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check_with_clients(start + b"f000\r\n" + b"b" * 0xF000 + b"\r\n" + b"f0000\r\n" + b"b" * 0xE0000)
+
+
 class WhenThePeerPortIsAttacked(AttackedVm):
     def test_garbage_and_unauthenticated_frames_are_dropped(self):
         generator = random.Random(7)
--- a/unittests/node/settings_test.cpp
+++ b/unittests/node/settings_test.cpp
@@ -25,6 +25,8 @@
     CHECK(settings->peers.size() == 2);
     CHECK(settings->drain_time == std::chrono::milliseconds{1500});
     CHECK(settings->listen == "127.0.0.1:8080");
+    CHECK(settings->client_memory_bytes == std::size_t{256} * 1024 * 1024);
+    CHECK(settings->max_connections == 4096);
 
     WHEN("a flag and its environment variable differ")
     {
@@ -51,6 +53,9 @@
     CHECK(refusal_of("--vm-key=short").starts_with("--vm-key"));
     CHECK(refusal_of("--drain-time=-1").starts_with("--drain-time"));
     CHECK(refusal_of("--drain-time=nan").starts_with("--drain-time"));
+    CHECK(refusal_of("--client-memory=0").starts_with("--client-memory"));
+    CHECK(refusal_of("--client-memory=1x").starts_with("--client-memory"));
+    CHECK(refusal_of("--max-connections=0").starts_with("--max-connections"));
     CHECK(refusal_of("--tls-key=x").starts_with("--tls-certificate"));
     CHECK(refusal_of("--operator-key-hashes=abc").starts_with("--operator-key-hashes"));
     CHECK(refusal_of("stray").starts_with("command line"));
