Keep reverted and replaced versions out of later roll-outs

Cause: the outcome of a roll-out was kept in the watch of its order, which the next order replaced and a withdrawal erased. Each version but the new target then counted as old, also one that had just been reverted, or that a completed roll-out had just replaced, while its servers still accepted requests. An order that named a reverted version again had no effect, as the watch or the report of its first order was taken for that of the new one. A request in progress at the next order applied its earlier choice to the new target.

Change: a service's versions are retired when they are reverted, when their order is withdrawn or replaced before it is complete, and when a roll-out to another version is complete; an order for a version reinstates it. Requests go to retired versions only if no other version has servers in use, and to the target of an order if no old version has. Reports hold the retired versions, as the store keeps the newest report only, and reports and evidence name their order by its offset. Both fields are optional, so VMs of an earlier release read and write the records as before. Answers of retired versions do not count as the old version's. Log lines version_retired and version_reinstated, a gauge and a counter.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -42,6 +42,8 @@
     version_name target;
     /// Time from the order to the deadline of the roll-out.
     std::chrono::milliseconds time{0};
+    /// Offset of the operator's record, by which a later order of the same version differs.
+    std::uint64_t offset{0};
 };
 
 /// State of a roll-out; the last two are final.
@@ -56,6 +58,11 @@
     service_name service;
     version_name target;
     rollout_state state{rollout_state::in_progress};
+    /// Offset of the order that the report is about; none in reports of VMs that run an earlier version.
+    std::optional<std::uint64_t> order_offset{};
+    /// Versions of the service that get no requests. The store keeps the newest report only, so each report holds
+    /// those of the earlier ones.
+    std::vector<version_name> retired{};
 };
 
 /// Number of classes that the routes of a service are divided into during a roll-out.
@@ -87,6 +94,8 @@
     rollout_counts slowness;
     /// Hashes of the sessions that were active when the order arrived.
     std::vector<std::uint64_t> pinned_sessions;
+    /// Offset of the order; none in records of VMs that run an earlier version.
+    std::optional<std::uint64_t> order_offset{};
 };
 
 /// The subject of a record in the operator's topic, parsed from its key.
--- a/include/agatespar/gateway/fleet_state.h
+++ b/include/agatespar/gateway/fleet_state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <agatespar/gateway/recent_sessions.h>
+#include <agatespar/gateway/retired_versions.h>
 #include <agatespar/gateway/rollout_watch.h>
 #include <agatespar/gateway/server_directory.h>
 #include <agatespar/gateway/service_map.h>
@@ -56,11 +57,25 @@
     /// @return the service's roll-out, or null.
     rollout_watch* rollout_of(const service_name& service);
     std::map<service_name, rollout_watch>& rollouts() { return rollouts_; }
+    /// @return the versions of the service that get no requests while another version has servers.
+    std::span<const version_name> retired_versions(const service_name& service) const;
+    const std::map<service_name, std::vector<version_name>>& retired_versions() const { return retired_; }
+    /// @return a report that this VM is to write, with the versions that are retired once it holds.
+    rollout_report with_retired(rollout_report report) const;
 
 private:
     void apply_service_map(const keyed_record& record);
     void apply_rollout(const std::string& name, const keyed_record& record, steady_time now);
     void apply_evacuation(const std::string& name, const keyed_record& record);
+    void start_rollout(const rollout_order& order, steady_time now);
+    /// Retires the target of an order that ends, unless its roll-out is complete.
+    /// @param next target of the order that replaces it, or null if it was withdrawn.
+    void retire_unfinished(const rollout_watch& ended, const version_name* next);
+    /// Retires the versions that a report names or has left behind, except the target of the order in force.
+    void apply_retired(const rollout_report& report);
+    void retire(const service_name& service, const version_name& version);
+    /// @return the versions of the service's known servers that accept requests, without retired ones.
+    std::set<version_name> serving_versions(const service_name& service) const;
 
     const fleet_store& store_;
     rollout_settings rollout_settings_;
@@ -71,6 +86,7 @@
     std::set<zone_name> evacuated_;
     std::map<service_name, rollout_watch> rollouts_;
     std::map<service_name, rollout_report> reports_;
+    std::map<service_name, std::vector<version_name>> retired_;
 };
 
 /// Conditions that a server must meet to run a request.
@@ -85,6 +101,9 @@
     std::span<const server_name> tried;
 };
 
+/// Servers of retired versions are excluded. If no old version that is not retired has a server (one that accepts
+/// requests, in a zone that is not evacuated), requests for an old version go to the target; if only retired versions
+/// have servers, requests for any or an old version go to these.
 /// @return the servers that may run a request. Cold servers are included only if all eligible servers are cold.
 std::vector<std::shared_ptr<fleet_server>> eligible_servers(const fleet_state& fleet, const server_criteria& criteria,
                                                             steady_time now);
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -104,8 +104,11 @@
 
     const rollout_order& order() const { return order_; }
     rollout_state state() const { return state_; }
-    /// Applies a report about this order from the store. Once the state is final, further reports are ignored.
+    /// Applies a report about this order from the store. Once the state is final, further reports are ignored, and so
+    /// is a reversion under an earlier order of the same version.
     void apply_report(const rollout_report& report);
+    /// Called when the operator has written the order in progress again: later reports refer to the newest record.
+    void set_order_offset(std::uint64_t offset) { order_.offset = offset; }
 
     /// Chooses the version of a request. A session keeps its version.
     /// @param draw uniform in [0, 1), for requests without a session.
@@ -171,4 +174,10 @@
     answer_tally sent_target_answers_;
 };
 
+/// @param chosen_for target of the order under which the choice was made, or nothing if there was none.
+/// @return the valid choice under the roll-out in force. A request that began before its order stays on an old version
+/// while it is in progress.
+version_choice current_choice(const rollout_watch& watch, version_choice chosen,
+                              const std::optional<version_name>& chosen_for);
+
 } // namespace agatespar
--- a/lib/gateway/evidence_record.cpp
+++ b/lib/gateway/evidence_record.cpp
@@ -25,20 +25,23 @@
         sum.others += each.others;
     }
     // The sums are for VMs that run an earlier version.
-    const json document{{"vm", evidence.vm},
-                        {"service", evidence.service.value()},
-                        {"target", evidence.target.value()},
-                        {"target_good", sum.target.good},
-                        {"target_bad", sum.target.bad},
-                        {"others_good", sum.others.good},
-                        {"others_bad", sum.others.bad},
-                        {"classes", write_classes(evidence.failures)},
-                        {"others_good_beside", evidence.failures.others_concurrent.good},
-                        {"others_bad_beside", evidence.failures.others_concurrent.bad},
-                        {"slow_classes", write_classes(evidence.slowness)},
-                        {"others_fast_beside", evidence.slowness.others_concurrent.good},
-                        {"others_slow_beside", evidence.slowness.others_concurrent.bad},
-                        {"staying", evidence.pinned_sessions}};
+    json document{{"vm", evidence.vm},
+                  {"service", evidence.service.value()},
+                  {"target", evidence.target.value()},
+                  {"target_good", sum.target.good},
+                  {"target_bad", sum.target.bad},
+                  {"others_good", sum.others.good},
+                  {"others_bad", sum.others.bad},
+                  {"classes", write_classes(evidence.failures)},
+                  {"others_good_beside", evidence.failures.others_concurrent.good},
+                  {"others_bad_beside", evidence.failures.others_concurrent.bad},
+                  {"slow_classes", write_classes(evidence.slowness)},
+                  {"others_fast_beside", evidence.slowness.others_concurrent.good},
+                  {"others_slow_beside", evidence.slowness.others_concurrent.bad},
+                  {"staying", evidence.pinned_sessions}};
+    if (evidence.order_offset) {
+        document["order"] = *evidence.order_offset;
+    }
     return {vm_name + "/" + evidence.service.value(), document.dump(), 0};
 }
 
@@ -102,6 +105,9 @@
         evidence.failures = read_failures(*document);
         evidence.slowness = read_slowness(*document);
         evidence.pinned_sessions = document->at("staying").get<std::vector<std::uint64_t>>();
+        if (const auto order = document->find("order"); order != document->end()) {
+            evidence.order_offset = order->get<std::uint64_t>();
+        }
         return evidence;
     }
     catch (const json::exception& problem) {
--- a/lib/gateway/fleet_state.cpp
+++ b/lib/gateway/fleet_state.cpp
@@ -52,30 +52,139 @@
 void fleet_state::apply_rollout(const std::string& name, const keyed_record& record, steady_time now)
 {
     const service_name service{name};
+    const auto known = rollouts_.find(service);
     if (!record.value) {
-        rollouts_.erase(service);
+        if (known != rollouts_.end()) {
+            retire_unfinished(known->second, nullptr);
+            rollouts_.erase(known);
+        }
         log_event(log_severity::info, "rollout_withdrawn", {{"service", name}, {"offset", record.offset}});
         return;
     }
-    const auto order = store_.read_rollout(name, *record.value);
+    auto order = store_.read_rollout(name, *record.value);
     if (!order) {
         log_event(log_severity::error, "rollout_unreadable", {{"service", name}, {"reason", order.error().message}});
         return;
     }
-    const auto known = rollouts_.find(service);
-    if (known != rollouts_.end() && known->second.order().target == order->target) {
-        return;
-    }
-    rollouts_.erase(service);
-    auto& watch =
-        rollouts_.try_emplace(service, *order, rollout_settings_, own_vm_id_, sessions_.list(now), now).first->second;
-    if (const auto report = reports_.find(service); report != reports_.end()) {
-        watch.apply_report(report->second);
+    order->offset = record.offset;
+    if (known != rollouts_.end()) {
+        rollout_watch& watch = known->second;
+        const bool is_known = watch.order().target == order->target;
+        // A reverted version may be ordered again by a record of its own.
+        if (is_known && (watch.state() != rollout_state::reverted || watch.order().offset == record.offset)) {
+            watch.set_order_offset(record.offset);
+            return;
+        }
+        if (!is_known) {
+            retire_unfinished(watch, &order->target);
+        }
+        rollouts_.erase(known);
     }
+    start_rollout(*order, now);
     log_event(log_severity::info, "rollout_ordered",
               {{"service", name}, {"target", order->target.value()}, {"offset", record.offset}});
 }
 
+void fleet_state::start_rollout(const rollout_order& order, steady_time now)
+{
+    if (reinstate_version(retired_[order.service], order.target)) {
+        log_event(log_severity::info, "version_reinstated",
+                  {{"service", order.service.value()}, {"version", order.target.value()}});
+    }
+    auto& watch = rollouts_.try_emplace(order.service, order, rollout_settings_, own_vm_id_, sessions_.list(now), now)
+                      .first->second;
+    if (const auto report = reports_.find(order.service);
+        report != reports_.end() && report->second.target == order.target) {
+        watch.apply_report(report->second);
+        // What it retires depends on the order in force: the report may have arrived before the order.
+        apply_retired(report->second);
+    }
+}
+
+void fleet_state::retire(const service_name& service, const version_name& version)
+{
+    if (retire_version(retired_[service], version)) {
+        log_event(log_severity::info, "version_retired", {{"service", service.value()}, {"version", version.value()}});
+    }
+}
+
+void fleet_state::retire_unfinished(const rollout_watch& ended, const version_name* next)
+{
+    const rollout_order& order = ended.order();
+    if (ended.state() == rollout_state::complete) {
+        return;
+    }
+    if (ended.state() == rollout_state::in_progress && next != nullptr) {
+        // Without a server of an older version the roll-out was completed, and this VM has not read the report yet.
+        std::set<version_name> serving = serving_versions(order.service);
+        serving.erase(order.target);
+        serving.erase(*next);
+        if (serving.empty()) {
+            return;
+        }
+    }
+    retire(order.service, order.target);
+}
+
+void fleet_state::apply_retired(const rollout_report& report)
+{
+    const rollout_watch* watch = rollout_of(report.service);
+    const auto retire_unless_ordered = [&](const version_name& version) {
+        if (watch == nullptr || watch->order().target != version) {
+            retire(report.service, version);
+        }
+    };
+    for (const version_name& version : report.retired) {
+        retire_unless_ordered(version);
+    }
+    if (report.state == rollout_state::reverted) {
+        retire_unless_ordered(report.target);
+        if (watch != nullptr && watch->state() == rollout_state::reverted) {
+            retire(report.service, watch->order().target);
+        }
+    }
+    if (report.state == rollout_state::complete) {
+        reinstate_version(retired_[report.service], report.target);
+        for (const version_name& version : serving_versions(report.service)) {
+            if (version != report.target) {
+                retire_unless_ordered(version);
+            }
+        }
+    }
+}
+
+std::set<version_name> fleet_state::serving_versions(const service_name& service) const
+{
+    const auto retired = retired_versions(service);
+    std::set<version_name> versions;
+    for (const auto& [name, server] : directory_.all()) {
+        const server_record& record = server->record;
+        if (record.service == service && accepts_requests(*server) && !is_retired(retired, record.version)) {
+            versions.insert(record.version);
+        }
+    }
+    return versions;
+}
+
+std::span<const version_name> fleet_state::retired_versions(const service_name& service) const
+{
+    const auto found = retired_.find(service);
+    return found == retired_.end() ? std::span<const version_name>{} : found->second;
+}
+
+rollout_report fleet_state::with_retired(rollout_report report) const
+{
+    const auto known = retired_versions(report.service);
+    report.retired.assign(known.begin(), known.end());
+    if (report.state == rollout_state::complete) {
+        for (const version_name& version : serving_versions(report.service)) {
+            retire_version(report.retired, version);
+        }
+        reinstate_version(report.retired, report.target);
+    }
+    return report;
+}
+
 void fleet_state::apply_evacuation(const std::string& name, const keyed_record& record)
 {
     const zone_name zone{name};
@@ -104,6 +213,7 @@
     if (rollout_watch* watch = rollout_of(report->service)) {
         watch->apply_report(*report);
     }
+    apply_retired(*report);
     log_event(log_severity::info, "rollout_reported",
               {{"service", report->service.value()},
                {"target", report->target.value()},
@@ -180,6 +290,17 @@
     return found == rollouts_.end() ? nullptr : &found->second;
 }
 
+namespace {
+
+/// A request goes to the first group in which the service has a server that accepts requests.
+enum class version_group {
+    chosen,
+    not_chosen,
+    retired,
+};
+
+} // namespace
+
 static bool matches_version(const fleet_server& server, const server_criteria& criteria)
 {
     if (criteria.version == version_choice::any || criteria.target == nullptr) {
@@ -189,12 +310,25 @@
     return is_target == (criteria.version != version_choice::others_only);
 }
 
-static bool is_eligible(const fleet_state& fleet, const fleet_server& server, const server_criteria& criteria)
+static bool is_available(const fleet_state& fleet, const fleet_server& server, const server_criteria& criteria)
 {
-    const server_record& record = server.record;
-    if (record.service != *criteria.service || !accepts_requests(server) || fleet.is_evacuated(record.zone)) {
-        return false;
+    return server.record.service == *criteria.service && accepts_requests(server) &&
+           !fleet.is_evacuated(server.record.zone);
+}
+
+static version_group group_of(const fleet_server& server, const server_criteria& criteria,
+                              std::span<const version_name> retired)
+{
+    if (is_retired(retired, server.record.version)) {
+        return version_group::retired;
     }
+    return matches_version(server, criteria) ? version_group::chosen : version_group::not_chosen;
+}
+
+/// @return whether a server that is available has not been tried and has the model.
+static bool can_run(const fleet_server& server, const server_criteria& criteria)
+{
+    const server_record& record = server.record;
     if (std::find(criteria.tried.begin(), criteria.tried.end(), record.name) != criteria.tried.end()) {
         return false;
     }
@@ -202,20 +336,48 @@
         std::find(record.models.begin(), record.models.end(), *criteria.model) == record.models.end()) {
         return false;
     }
-    return matches_version(server, criteria);
+    return true;
 }
 
-std::vector<std::shared_ptr<fleet_server>> eligible_servers(const fleet_state& fleet, const server_criteria& criteria,
-                                                            steady_time now)
+/// @return the first group in which any server is available, whether or not it was tried.
+static version_group first_available_group(const fleet_state& fleet, const server_criteria& criteria)
+{
+    const auto retired = fleet.retired_versions(*criteria.service);
+    version_group first = version_group::retired;
+    for (const auto& [name, server] : fleet.directory().all()) {
+        if (is_available(fleet, *server, criteria)) {
+            first = std::min(first, group_of(*server, criteria, retired));
+        }
+    }
+    return first;
+}
+
+static std::vector<std::shared_ptr<fleet_server>>
+servers_of_group(const fleet_state& fleet, const server_criteria& criteria, version_group group, steady_time now)
 {
+    const auto retired = fleet.retired_versions(*criteria.service);
     std::vector<std::shared_ptr<fleet_server>> warm;
     std::vector<std::shared_ptr<fleet_server>> cold;
     for (const auto& [name, server] : fleet.directory().all()) {
-        if (is_eligible(fleet, *server, criteria)) {
+        if (is_available(fleet, *server, criteria) && can_run(*server, criteria) &&
+            group_of(*server, criteria, retired) == group) {
             (server->cold_until > now ? cold : warm).push_back(server);
         }
     }
     return warm.empty() ? cold : warm;
 }
 
+std::vector<std::shared_ptr<fleet_server>> eligible_servers(const fleet_state& fleet, const server_criteria& criteria,
+                                                            steady_time now)
+{
+    auto servers = servers_of_group(fleet, criteria, version_group::chosen, now);
+    const bool needs_target =
+        criteria.version == version_choice::target_only || criteria.version == version_choice::prefer_target;
+    if (!servers.empty() || needs_target) {
+        return servers;
+    }
+    const version_group group = first_available_group(fleet, criteria);
+    return group == version_group::chosen ? servers : servers_of_group(fleet, criteria, group, now);
+}
+
 } // namespace agatespar
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -246,6 +246,10 @@
         show("agatespar_store_reachable", "Whether a topic of the platform's store can be read.",
              (*follower)->is_reachable() ? 1 : 0, {{"topic", topic_label((*follower)->topic())}});
     }
+    for (const auto& [service, retired] : fleet_.retired_versions()) {
+        show("agatespar_retired_versions", "Versions of a service that get no requests.",
+             static_cast<double>(retired.size()), {{"service", service.value()}});
+    }
     const auto count = [this](std::string_view name, std::string_view help, std::uint64_t value) {
         metrics_.make_counter(name, help).value = value;
     };
@@ -318,7 +322,8 @@
                    {"slowness_evidence", slowness.evidence}});
         writing_report_ = true;
         store_.append(
-            fleet_topic::reports, {store_.write_report(*report)}, reports_->end(), [this](append_result result) {
+            fleet_topic::reports, {store_.write_report(fleet_.with_retired(*report))}, reports_->end(),
+            [this](append_result result) {
                 // The follower receives the report when it has been written, even if the answer of this call was
                 // lost; until then it may be sent again.
                 writing_report_ = false;
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -28,7 +28,11 @@
 
 void rollout_watch::apply_report(const rollout_report& report)
 {
-    if (report.target == order_.target && state_ == rollout_state::in_progress) {
+    if (report.target != order_.target || state_ != rollout_state::in_progress) {
+        return;
+    }
+    const bool is_of_earlier_order = report.order_offset && *report.order_offset < order_.offset;
+    if (report.state != rollout_state::reverted || !is_of_earlier_order) {
         state_ = report.state;
     }
 }
@@ -72,6 +76,12 @@
     return chosen;
 }
 
+version_choice current_choice(const rollout_watch& watch, version_choice chosen,
+                              const std::optional<version_name>& chosen_for)
+{
+    return watch.current_choice(chosen_for == watch.order().target ? chosen : version_choice::others_only);
+}
+
 /// @return the time beyond which an answer is slow, or nothing while too few answers are known.
 static std::optional<duration> slow_limit(const recent_times& usual, double factor)
 {
@@ -163,7 +173,8 @@
 
 void rollout_watch::apply_evidence(const rollout_evidence& evidence, steady_time now)
 {
-    if (evidence.vm == own_id_ || evidence.target != order_.target) {
+    const bool is_of_earlier_order = evidence.order_offset && *evidence.order_offset < order_.offset;
+    if (evidence.vm == own_id_ || evidence.target != order_.target || is_of_earlier_order) {
         return;
     }
     const bool new_failures = failures_.merge(evidence.vm, evidence.failures);
@@ -214,6 +225,7 @@
     evidence.vm = own_id_;
     evidence.service = order_.service;
     evidence.target = order_.target;
+    evidence.order_offset = order_.offset;
     evidence.failures.others_concurrent = failures_.take_unsent_old_answers(now);
     evidence.slowness.others_concurrent = slowness_.take_unsent_old_answers(now);
     evidence.pinned_sessions = own_pinned_sessions_;
@@ -232,7 +244,7 @@
         if (now - *stop_since_ < settings_.revert_delay + (is_reader ? std::chrono::milliseconds{0} : delay)) {
             return std::nullopt;
         }
-        return rollout_report{order_.service, order_.target, rollout_state::reverted};
+        return rollout_report{order_.service, order_.target, rollout_state::reverted, order_.offset, {}};
     }
     const auto share_of_time =
         std::chrono::duration_cast<std::chrono::milliseconds>(order_.time * settings_.finish_lead_fraction);
@@ -247,10 +259,10 @@
     }
     const double evidence = std::max(failures_.verdict().evidence, slowness_.verdict().evidence);
     if (evidence >= settings_.max_completion_evidence) {
-        return rollout_report{order_.service, order_.target, rollout_state::reverted};
+        return rollout_report{order_.service, order_.target, rollout_state::reverted, order_.offset, {}};
     }
     if (target_serves) {
-        return rollout_report{order_.service, order_.target, rollout_state::complete};
+        return rollout_report{order_.service, order_.target, rollout_state::complete, order_.offset, {}};
     }
     return std::nullopt;
 }
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -120,6 +120,7 @@
         owner_.fleet_.record_session_request(*session, now);
     }
     if (rollout_watch* watch = owner_.fleet_.rollout_of(service_)) {
+        version_target_ = watch->order().target;
         version_ =
             watch->choose(std::uniform_real_distribution<double>{}(owner_.random_), session, owner_.listed_vms(), now);
     }
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -159,6 +159,8 @@
     std::optional<model_name> model_;
     std::size_t model_tier_{0};
     version_choice version_{version_choice::any};
+    /// Target of the order under which the version was chosen, if there was one.
+    std::optional<version_name> version_target_;
     steady_time deadline_;
     std::optional<timer_id> deadline_timer_;
     std::optional<timer_id> retry_timer_;
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -29,7 +29,7 @@
     need.model = model_ ? model_ : metadata_.model;
     need.tried = tried_;
     if (const rollout_watch* watch = owner_.fleet_.rollout_of(service_)) {
-        need.version = watch->current_choice(version_);
+        need.version = current_choice(*watch, version_, version_target_);
         need.target = &watch->order().target;
     }
     auto servers = eligible_servers(owner_.fleet_, need, now);
@@ -100,6 +100,13 @@
     }
     attempt.time_left = time_left();
     report_.attempts.push_back(std::move(attempt));
+    if (is_retired(owner_.fleet_.retired_versions(service_), server.record.version)) {
+        owner_.metrics_
+            .make_counter("agatespar_retired_version_sends_total",
+                          "Requests sent to a retired version, as no other version had servers.",
+                          {{"service", service_.value()}})
+            .add();
+    }
 }
 
 attempt_metadata transparent_request::describe_attempt(const fleet_server& server) const
@@ -341,6 +348,10 @@
     if (watch == nullptr || !server_ || std::exchange(rollout_result_recorded_, true)) {
         return;
     }
+    // A retired version's answers, begun before, would count as the old version's and hide faults of the new one.
+    if (is_retired(owner_.fleet_.retired_versions(service_), server_->record.version)) {
+        return;
+    }
     const observed_answer answer = describe_observed(*watch, good);
     const bool slow = watch->note_answer(answer, owner_.loop_.time().now());
     if (watch->state() == rollout_state::in_progress && answer.by_target && (!good || slow)) {
--- a/unittests/entry/records_test.cpp
+++ b/unittests/entry/records_test.cpp
@@ -140,7 +140,19 @@
         REQUIRE(report);
         CHECK(report->state == state);
         CHECK(report->service == service_name{"huvo11a"});
+        // As written by VMs that run an earlier version.
+        CHECK(!report->order_offset);
+        CHECK(report->retired.empty());
     }
+    const auto record =
+        write_report({service_name{"s"}, version_name{"v3"}, rollout_state::complete, 7, {version_name{"v2"}}});
+    const auto report = read_report(record.key, *record.value);
+    REQUIRE(report);
+    CHECK(report->order_offset == 7U);
+    CHECK(report->retired == std::vector{version_name{"v2"}});
+    CHECK(!read_report("rollout/s", R"({"state":"complete","target":"v2","order":-1})"));
+    CHECK(!read_report("rollout/s", R"({"state":"complete","target":"v2","retired":"v1"})"));
+    CHECK(!read_report("rollout/s", R"({"state":"complete","target":"v2","retired":[1]})"));
     CHECK(!read_report("rollout/s", R"({"state":"done","target":"v2"})"));
     CHECK(!read_report("other", R"({"state":"complete","target":"v2"})"));
 }
