Frame every answer by its status and its request's method

Cause: a streamed answer was framed by the client's version only. With status 204 or 304, or for HEAD, begin() announced chunks and finish() wrote the last one, so that five bytes stood before the next answer of a kept connection. answer() had the rule of its own.

Change: frame_answer() decides for answer(), begin(), send_chunk(), finish() and abort(). Pieces of a body that the answer does not have are dropped.

--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -76,6 +76,18 @@
     chunks,
 };
 
+/// How an answer is delimited, by its status and its request (RFC 9112, section 6.3).
+struct answer_framing {
+    /// What the head announces.
+    body_framing announced{body_framing::none};
+    bool has_body{true};
+    /// The client sees the end of the answer without the end of the connection.
+    bool is_delimited{true};
+};
+
+/// @param is_length_known whether the complete body is there when the head is written.
+answer_framing frame_answer(int status, const http_request_head& request, bool is_length_known);
+
 /// @return the head of a request with a body of known size. @param body_size in bytes, written as Content-Length if the
 /// method may have a body.
 std::string write_request_head(const http_request_head& head, std::size_t body_size);
--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -67,6 +67,7 @@
     void answer_shared(const http_answer_head& head, std::shared_ptr<const std::string> body, bool must_deliver);
     /// Sends the head of an answer whose body follows in pieces.
     void begin(const http_answer_head& head);
+    /// Sends a piece of the body. It is dropped if the answer has none by its status or its request's method.
     void send_chunk(std::string_view bytes);
     /// Ends an answer that has been sent completely.
     void finish();
@@ -96,6 +97,7 @@
     std::shared_ptr<const std::string> body_;
     steady_time start_time_;
     bool answer_started_{false};
+    answer_framing framing_;
     std::function<void()> disconnect_callback_;
     std::function<void()> drained_callback_;
 };
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -10,6 +10,10 @@
 
 namespace agatespar {
 
+static constexpr int first_status_with_body = 200;
+static constexpr int status_no_content = 204;
+static constexpr int status_not_modified = 304;
+
 bool equal_without_case(std::string_view left, std::string_view right)
 {
     return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
@@ -80,6 +84,21 @@
     return text.append("\r\n");
 }
 
+answer_framing frame_answer(int status, const http_request_head& request, bool is_length_known)
+{
+    if (status < first_status_with_body || status == status_no_content || status == status_not_modified) {
+        return {body_framing::none, false, true};
+    }
+    const bool has_body = request.method != "HEAD";
+    if (is_length_known) {
+        return {body_framing::length, has_body, true};
+    }
+    if (has_body && request.accepts_chunks) {
+        return {body_framing::chunks, true, true};
+    }
+    return {body_framing::none, has_body, !has_body};
+}
+
 std::string write_answer_head(const http_answer_head& head, body_framing framing, std::size_t length, bool keep_alive)
 {
     std::string text;
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -9,9 +9,6 @@
 
 namespace agatespar {
 
-static constexpr int first_status_with_body = 200;
-static constexpr int status_no_content = 204;
-static constexpr int status_not_modified = 304;
 // Minimum time between two log lines about the limit on connections.
 static constexpr std::chrono::seconds limit_log_interval{10};
 // A body up to this size is copied into one buffer with the head, which is faster than a second buffer.
@@ -97,16 +94,13 @@
     }
     assert(!answer_started_ && "a request is answered once");
     answer_started_ = true;
-    const bool keep_alive = !connection_->closes_after_answer();
-    const bool bodiless =
-        head.status < first_status_with_body || head.status == status_no_content || head.status == status_not_modified;
-    std::string message =
-        write_answer_head(head, bodiless ? body_framing::none : body_framing::length, body.size(), keep_alive);
-    const bool has_body = !bodiless && head_.method != "HEAD";
-    if (has_body && !shared) {
+    framing_ = frame_answer(head.status, head_, true);
+    const bool keep_alive = keeps_connection();
+    std::string message = write_answer_head(head, framing_.announced, body.size(), keep_alive);
+    if (framing_.has_body && !shared) {
         message.append(body);
     }
-    connection_->write(message, has_body ? std::move(shared) : nullptr, must_deliver);
+    connection_->write(message, framing_.has_body ? std::move(shared) : nullptr, must_deliver);
     end(keep_alive);
 }
 
@@ -117,15 +111,15 @@
     }
     assert(!answer_started_ && "a request is answered once");
     answer_started_ = true;
-    const auto framing = head_.accepts_chunks ? body_framing::chunks : body_framing::none;
-    connection_->write(write_answer_head(head, framing, 0, keeps_connection()));
+    framing_ = frame_answer(head.status, head_, false);
+    connection_->write(write_answer_head(head, framing_.announced, 0, keeps_connection()));
 }
 
 void server_exchange::send_chunk(std::string_view bytes)
 {
     // An empty chunk would end the body.
-    if (connection_ != nullptr && !bytes.empty()) {
-        connection_->write(head_.accepts_chunks ? write_chunk(bytes) : std::string{bytes});
+    if (connection_ != nullptr && framing_.has_body && !bytes.empty()) {
+        connection_->write(framing_.announced == body_framing::chunks ? write_chunk(bytes) : std::string{bytes});
     }
 }
 
@@ -134,17 +128,17 @@
     if (connection_ == nullptr) {
         return;
     }
-    if (head_.accepts_chunks) {
+    if (framing_.announced == body_framing::chunks) {
         connection_->write(last_chunk);
     }
     // The head has announced whether the connection stays open, but the listener may have begun to close since.
     end(keeps_connection());
 }
 
-/// @return whether the connection stays open after a streamed answer; its end delimits an answer without chunks.
+/// @return whether the connection stays open after the answer; its end may delimit the body.
 bool server_exchange::keeps_connection() const
 {
-    return head_.accepts_chunks && !connection_->closes_after_answer();
+    return framing_.is_delimited && !connection_->closes_after_answer();
 }
 
 void server_exchange::end(bool keep_alive)
@@ -165,7 +159,7 @@
     connection_.reset();
     disconnect_callback_ = nullptr;
     drained_callback_ = nullptr;
-    const bool ends_with_connection = answer_started_ && !head_.accepts_chunks;
+    const bool ends_with_connection = answer_started_ && !framing_.is_delimited;
     connection->close_now(ends_with_connection);
 }
 
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -114,6 +114,35 @@
     CHECK(test.client.received == "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfirst second");
 }
 
+// Guards against bytes that a client reads as the beginning of the next answer: a body where the status or the method
+// permits none.
+SCENARIO("a streamed answer without a body is followed by the next answer on the same connection")
+{
+    server_fixture test;
+    std::string method = "GET";
+    http_answer_head head;
+    head.reason = "None";
+    WHEN("its status permits no body")
+    {
+        head.status = GENERATE(204, 304);
+    }
+    WHEN("its request's method permits none")
+    {
+        method = "HEAD";
+        head.status = 200;
+    }
+    test.client.stream->write(method + " /one HTTP/1.1\r\nHost: a\r\n\r\nGET /two HTTP/1.1\r\nHost: a\r\n\r\n");
+    test.wait_for_requests(1);
+    test.exchanges[0]->begin(head);
+    test.exchanges[0]->send_chunk("event");
+    test.exchanges[0]->finish();
+    test.wait_for_requests(2);
+    test.exchanges[1]->answer(local_answer_head(200), "second");
+    test.wait_for_text("second");
+    CHECK(test.client.received == "HTTP/1.1 " + std::to_string(head.status) +
+                                      " None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond");
+}
+
 SCENARIO("an aborted answer to a client of HTTP/1.0 can't be mistaken for a complete one")
 {
     server_fixture test;
