Take an answer with a status outside 100 to 599 as a server's failure

Cause: the parser accepts any three digits. A status of 000 was passed on to the client as the number 0, which no client can read, and which the gateway uses for "no head yet".

Change: the reader of answers reports such a head as malformed, so that the call fails as with any other invalid answer.

Measured: the new scenario of unittests/http/message_reader_test.cpp failed for 000, 001, 099, 600 and 999 before and passes now; unittest_http (33 scenarios) and unittest_gateway (89) pass.

--- a/lib/http/message_reader.cpp
+++ b/lib/http/message_reader.cpp
@@ -15,6 +15,9 @@
 
 // HTTP/1.1, in the form in which the parser reports versions.
 static constexpr int http_1_1 = 11;
+// Other statuses are invalid (RFC 9110, section 15). The parser accepts any three digits.
+static constexpr int min_status = 100;
+static constexpr int max_status = 599;
 
 /// @return whether a message's transfer encoding, if it has one, tells where its body ends, and the body needs no
 /// decoding other than that of its chunks (RFC 9112, sections 6.1 and 6.3). The parser ignores any other encoding.
@@ -54,8 +57,12 @@
             head.target.assign(target.data(), target.size());
         }
     }
-    void on_response_impl(int status, beast::string_view reason, int message_version, error_type& /*error*/) override
+    void on_response_impl(int status, beast::string_view reason, int message_version, error_type& error) override
     {
+        if (status < min_status || status > max_status) {
+            error = beast::http::error::bad_status;
+            return;
+        }
         version = message_version;
         if constexpr (!is_request) {
             head.status = status;
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -306,6 +306,27 @@
     }
 }
 
+// Guards against a server's status that is passed on although no client can read it: 000 became the number 0.
+SCENARIO("an answer with a status outside the range of HTTP is malformed")
+{
+    const auto read_status = [](const std::string& status) {
+        std::optional<int> read;
+        answer_reader reader{{},
+                             {[&read](const http_answer_head& head) { read = head.status; }, [](std::string_view) {}}};
+        std::string input = "HTTP/1.1 " + status + " Word\r\nContent-Length: 0\r\n\r\n";
+        const outcome<void> result = reader.feed(input);
+        CHECK(result.has_value() == read.has_value());
+        return read;
+    };
+    CHECK(read_status("100") == 100);
+    CHECK(read_status("200") == 200);
+    CHECK(read_status("599") == 599);
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "-20", "+20", "2x0"}) {
+        CAPTURE(status);
+        CHECK(!read_status(status));
+    }
+}
+
 SCENARIO("an exceeded limit is distinguished from malformed input")
 {
     message_limits limits;
