Read load reports with four figures, and count those that cannot be read

Cause: read_load accepted exactly three figures. Every report of a server that adds its present slowness was dropped without a trace, and its load was not known.

Change: the fourth figure becomes reported_load::slowness_percent; further ones are ignored. If only the fourth cannot be read, the load still counts. A report that cannot be read is counted in agatespar_load_reports_unreadable_total and logged as load_report_unreadable, at most once a second.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -155,6 +155,8 @@
     void apply_crash_record(const keyed_record& record);
     /// Adds verdicts that this VM has changed to its record in the store.
     void publish_verdicts(const std::vector<gossip_item>& items);
+    /// Counts a load report that cannot be read, and logs it at most once a second.
+    void note_unreadable_load(const fleet_server& server, const std::string& text);
     service_retry_budget& budget_of(const service_name& service);
     /// @return the number of VMs that fleet-wide limits are divided among.
     double assumed_vms() const;
@@ -186,6 +188,7 @@
     std::map<service_name, model_pressure> pressures_;
     /// Times that connections to servers of a zone took to open.
     std::map<zone_name, recent_times> round_trips_;
+    std::optional<steady_time> unreadable_load_logged_at_;
     bool writing_report_{false};
     bool stopping_{false};
     /// No server can be reached from this VM, so the platform should send clients to VMs of other zones.
--- a/include/agatespar/gateway/protocol.h
+++ b/include/agatespar/gateway/protocol.h
@@ -60,6 +60,8 @@
     std::uint32_t running{0};
     std::uint32_t waiting{0};
     std::uint32_t slots{0};
+    /// How long work takes at the server at this moment, in percent of the usual time; nothing if it does not say.
+    std::optional<std::uint32_t> slowness_percent;
 };
 
 /// Metadata of a server's answer, besides its status.
@@ -73,6 +75,8 @@
     /// The server says that it is shutting down and must get no new requests.
     bool leaving{false};
     std::optional<reported_load> load;
+    /// The text of a load report that cannot be read, as a whole or in its slowness.
+    std::optional<std::string> unreadable_load;
     /// The model's own estimate of its answer's quality, 0 to 100.
     std::optional<int> confidence;
 };
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -25,6 +25,9 @@
     }
     const steady_time now = owner_.loop_.time().now();
     note_answer(*server_, metadata, now);
+    if (metadata.unreadable_load) {
+        owner_.note_unreadable_load(*server_, *metadata.unreadable_load);
+    }
     server_->last_received_at = now;
     if (metadata.leaving && !metadata.answered_by_other_server) {
         owner_.fleet_.note_says_leaving(*server_, metadata_.id);
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -531,6 +531,20 @@
         for kind in ("safe", "unsafe", "brief"):
             self.assertEqual(self.fetch(kind)[1], 502)
 
+    # Guards against load reports that are dropped without a trace, and against a log line for each of them.
+    def test_load_reports_that_cannot_be_read_are_counted_and_logged_once_a_second(self):
+        self.use_script(lambda headers: self.head(
+            headers, framing="X-Runner-Load: 1,0,x\r\nConnection: close\r\nContent-Length: 6\r\n") + b"a: b\n\n")
+        begun = time.monotonic()
+        for _ in range(20):
+            self.assertEqual(self.fetch("safe")[1], 200)
+        seconds = time.monotonic() - begun
+        text = self.http_get(self.entry["metrics"], "/metrics").body
+        self.assertIn("agatespar_load_reports_unreadable_total 20", text)
+        lines = self.log_lines("vm-1", "load_report_unreadable")
+        self.assertIn(len(lines), range(1, 2 + int(seconds)))
+        self.assertEqual(lines[0]["load"], "1,0,x")
+
     # Guards against the text of an error in the middle of a stream.
     def test_a_broken_stream_has_no_error_of_the_next_server_in_it(self):
         for status, framing in (("500 Failed", "Content-Length: 12\r\n"), ("500 Failed", ""), ("404 None", "")):
--- a/unittests/entry/headers_test.cpp
+++ b/unittests/entry/headers_test.cpp
@@ -159,6 +159,44 @@
     CHECK(!protocol.read_answer(head).confidence);
 }
 
+// Guards against a router that knows no server's load, as it drops every report that has more figures than it expects.
+SCENARIO("a server's load is read from three figures, and its present slowness from a fourth")
+{
+    const gateway_protocol protocol = platform::make_protocol();
+    http_answer_head head;
+    head.status = 200;
+    const auto read = [&](const std::string& text) {
+        head.headers = {{"X-Runner-Load", text}};
+        return protocol.read_answer(head);
+    };
+    CHECK(!protocol.read_answer(head).unreadable_load);
+    CHECK(read("3,1,8").load->slots == 8);
+    CHECK(!read("3,1,8").load->slowness_percent);
+    CHECK(!read("3,1,8").unreadable_load);
+    const auto newer = read(GENERATE("3,1,8,140", "3, 1, 8, 140", "3,1,8,140,7", "3,1,8,140,x,"));
+    REQUIRE(newer.load);
+    CHECK(newer.load->running == 3);
+    CHECK(newer.load->waiting == 1);
+    CHECK(newer.load->slots == 8);
+    CHECK(newer.load->slowness_percent == 140U);
+    CHECK(!newer.unreadable_load);
+    WHEN("only the slowness cannot be read, the load still counts")
+    {
+        const std::string text = GENERATE("3,1,8,x", "3,1,8,0", "3,1,8,-5", "3,1,8,,9");
+        const auto metadata = read(text);
+        CHECK(metadata.unreadable_load == text);
+        REQUIRE(metadata.load);
+        CHECK(metadata.load->running == 3);
+        CHECK(!metadata.load->slowness_percent);
+    }
+    WHEN("the load cannot be read")
+    {
+        const std::string text = GENERATE("3,1", "3,1,x", "", "3,,8,100", "-1,0,0,100");
+        CHECK(!read(text).load);
+        CHECK(read(text).unreadable_load == text);
+    }
+}
+
 SCENARIO("a server says in an answer that it is leaving")
 {
     const gateway_protocol protocol = platform::make_protocol();
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -372,7 +372,7 @@
     server.in_flight = 2;
     CHECK(estimated_load(server, time.now()) == 2);
     answer_metadata facts;
-    facts.load = reported_load{6, 1, 8};
+    facts.load = reported_load{6, 1, 8, {}};
     note_answer(server, facts, time.now());
     CHECK(estimated_load(server, time.now()) == 7);
     server.in_flight = 4;
@@ -645,7 +645,7 @@
     {
         server.unread_tokens = 0;
         answer_metadata facts;
-        facts.load = reported_load{3, 6, 48};
+        facts.load = reported_load{3, 6, 48, {}};
         note_answer(server, facts, time.now());
         CHECK(estimated_backlog(server, time.now()) > 4);
         time.advance(2s);
