Age load reports according to how long requests run at the service

Cause: every load report decayed over 4 s, as streams last some seconds. Servers of brief requests that were full when they answered last were refused new requests for seconds although they were idle again.

Change: typical run times by service and class (plain answers from send to answer, streams from send to end) are learned from complete answers in decaying averages with a half-life of 5 s. A report says nothing any more after three run times of the longest class in use, between 100 ms and 4 s; 4 s if nothing is known. The decaying average of model_pressure becomes a type of its own, which both use.

Measured: with a fixed lifetime of 4 s, 5 checks of the new scenario of unittest_gateway fail, and the new test of real processes gets 503 "no server has room" a second after the last report; both pass now.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <agatespar/gateway/protocol.h>
 #include <agatespar/gateway/recent_times.h>
 #include <agatespar/gateway/record_relay.h>
+#include <agatespar/gateway/run_times.h>
 #include <agatespar/gateway/server_choice.h>
 #include <agatespar/gateway/service_retry_budget.h>
 #include <agatespar/gateway/topic_follower.h>
@@ -186,6 +187,7 @@
     std::unique_ptr<record_relay> relay_;
     std::map<service_name, service_retry_budget> budgets_;
     std::map<service_name, model_pressure> pressures_;
+    std::map<service_name, service_run_times> run_times_;
     /// Times that connections to servers of a zone took to open.
     std::map<zone_name, recent_times> round_trips_;
     std::optional<steady_time> unreadable_load_logged_at_;
--- a/include/agatespar/gateway/model_pressure.h
+++ b/include/agatespar/gateway/model_pressure.h
@@ -1,7 +1,7 @@
 // Measures how overloaded a service's largest model is, and derives how confident a smaller model's answer has to be.
 #pragma once
 
-#include <agatespar/support/clock.h>
+#include <agatespar/gateway/decaying_average.h>
 
 namespace agatespar {
 
@@ -21,7 +21,10 @@
 /// Tracks the largest model's time to the first event, as a fraction of the goal, in a decaying average.
 class model_pressure {
 public:
-    explicit model_pressure(const pressure_settings& settings = {}) : settings_(settings) {}
+    explicit model_pressure(const pressure_settings& settings = {}) : settings_(settings)
+    {
+        goal_fractions_.half_life = settings.half_life;
+    }
 
     /// Records one answer.
     /// @param first_event time to the first event, or how long the request waited if there was none.
@@ -34,9 +37,7 @@
     double mean_goal_fraction(steady_time now) const;
 
     pressure_settings settings_;
-    double sum_{0};
-    double weight_{0};
-    steady_time updated_at_;
+    decaying_average goal_fractions_;
 };
 
 } // namespace agatespar
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -73,11 +73,12 @@
 /// @return the estimated number of running and waiting requests at a server: its last report, corrected by this VM's
 /// own requests since then. The share of other VMs in the report decays with its age; otherwise a server that once
 /// reported a full load would get no requests, and so could never send a newer report.
-std::uint32_t estimated_load(const fleet_server& server, steady_time now);
+/// @param report_lifetime the age at which a report says nothing any more (see load_report_lifetime()).
+std::uint32_t estimated_load(const fleet_server& server, duration report_lifetime, steady_time now);
 
 /// @return the prompt processing that is queued before a new request, in units of running requests that would delay it
-/// as much.
-double estimated_backlog(const fleet_server& server, steady_time now);
+/// as much. @param report_lifetime as for estimated_load().
+double estimated_backlog(const fleet_server& server, duration report_lifetime, steady_time now);
 
 /// When servers whose entries have lapsed are removed.
 struct directory_settings {
--- a/lib/gateway/model_pressure.cpp
+++ b/lib/gateway/model_pressure.cpp
@@ -3,33 +3,23 @@
 #include <agatespar/gateway/model_pressure.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace agatespar {
 
 // Weight of a prior observation without any delay, so that a single late answer after a pause changes little.
 static constexpr double prior_weight = 1;
 
-static double decay(duration age, std::chrono::milliseconds half_life)
-{
-    return std::exp2(-std::chrono::duration<double>(age) / std::chrono::duration<double>(half_life));
-}
-
 void model_pressure::note(duration first_event, duration goal, steady_time now)
 {
     if (goal <= duration::zero()) {
         return;
     }
-    const double remaining = decay(now - updated_at_, settings_.half_life);
-    sum_ = sum_ * remaining + std::chrono::duration<double>(first_event) / std::chrono::duration<double>(goal);
-    weight_ = weight_ * remaining + 1;
-    updated_at_ = now;
+    note_value(goal_fractions_, std::chrono::duration<double>(first_event) / std::chrono::duration<double>(goal), now);
 }
 
 double model_pressure::mean_goal_fraction(steady_time now) const
 {
-    const double remaining = decay(now - updated_at_, settings_.half_life);
-    return sum_ * remaining / (weight_ * remaining + prior_weight);
+    return mean_at(goal_fractions_, 0, prior_weight, now);
 }
 
 double model_pressure::required_confidence(steady_time now) const
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -10,8 +10,6 @@
 // some seconds, and a single broken connection should cost little.
 static constexpr std::chrono::milliseconds initial_avoidance{150};
 static constexpr std::uint32_t max_doublings = 4;
-// Most requests that a report counted have ended after this time, as streams last some seconds.
-static constexpr std::chrono::seconds load_report_lifetime{4};
 // A running request delays the first event of a new one by some ten milliseconds, as does processing this many prompt
 // tokens.
 static constexpr double tokens_per_running_request = 2000;
@@ -62,19 +60,19 @@
     return static_cast<int>(std::count_if(servers.begin(), servers.end(), runs));
 }
 
-std::uint32_t estimated_load(const fleet_server& server, steady_time now)
+std::uint32_t estimated_load(const fleet_server& server, duration report_lifetime, steady_time now)
 {
     const std::uint32_t reported = server.reported.running + server.reported.waiting;
     const std::uint32_t others = reported > server.in_flight_at_report ? reported - server.in_flight_at_report : 0;
-    const double age = std::chrono::duration<double>(now - server.reported_at) / load_report_lifetime;
+    const double age = std::chrono::duration<double>(now - server.reported_at) / report_lifetime;
     return static_cast<std::uint32_t>(others * std::clamp(1 - age, 0.0, 1.0)) + server.in_flight;
 }
 
-double estimated_backlog(const fleet_server& server, steady_time now)
+double estimated_backlog(const fleet_server& server, duration report_lifetime, steady_time now)
 {
     const double own = static_cast<double>(server.unread_tokens) / tokens_per_running_request;
     // Requests that wait at a server with free slots wait for prompts to be processed.
-    const bool fresh = now - server.reported_at < backlog_report_lifetime;
+    const bool fresh = now - server.reported_at < std::min<duration>(backlog_report_lifetime, report_lifetime);
     return own + (fresh ? waiting_weight * server.reported.waiting : 0);
 }
 
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -169,6 +169,9 @@
         return;
     }
     record_rollout_result(!is_server_failure(head_.status));
+    if (const steady_time now = owner_.loop_.time().now(); is_success(head_.status)) {
+        note_run_time(owner_.run_times_[service_], route_->kind, now - attempt_started_at_, now);
+    }
     if (!is_streaming_) {
         note_answer_begun();
         deliver_buffered_answer();
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -53,9 +53,10 @@
         prefer_prompt_affinity ? stable_hash(metadata_.prompt[metadata_.prompt.size() - 2].id.value()) : 0;
     std::vector<server_option> options;
     options.reserve(servers.size());
+    const duration report_lifetime = load_report_lifetime(owner_.run_times_[service_], now);
     for (const auto& server : servers) {
-        options.push_back({estimated_load(*server, now), std::max(1U, server->record.slots),
-                           estimated_backlog(*server, now),
+        options.push_back({estimated_load(*server, report_lifetime, now), std::max(1U, server->record.slots),
+                           estimated_backlog(*server, report_lifetime, now),
                            server->avoid_until > now || is_zone_avoided(server->record.zone),
                            combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
     }
@@ -90,7 +91,7 @@
     attempt.version = server.record.version;
     attempt.model = model_ ? model_->value() : "";
     attempt.candidates = candidates;
-    attempt.load = estimated_load(server, now);
+    attempt.load = estimated_load(server, load_report_lifetime(owner_.run_times_[service_], now), now);
     attempt.slots = server.record.slots;
     if (server.reported_at != steady_time{}) {
         attempt.load_age = age_of(server.reported_at);
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -545,6 +545,15 @@
         self.assertIn(len(lines), range(1, 2 + int(seconds)))
         self.assertEqual(lines[0]["load"], "1,0,x")
 
+    # Guards against refusals while all servers are idle, because they were full when they answered a second ago.
+    def test_servers_of_brief_requests_are_not_taken_for_full_by_reports_that_are_a_second_old(self):
+        self.use_script(lambda headers: self.head(
+            headers, framing="X-Runner-Load: 8,8,8\r\nConnection: close\r\nContent-Length: 6\r\n") + b"a: b\n\n")
+        wait_until(lambda: [self.fetch("safe"), [s for s in self.scripted if s.runs]][1][1:], "both servers to report")
+        time.sleep(1)
+        identity, status, _, text = self.fetch("safe")
+        self.assertEqual((status, text), (200, "a: b\n\n"), identity)
+
     # Guards against the text of an error in the middle of a stream.
     def test_a_broken_stream_has_no_error_of_the_next_server_in_it(self):
         for status, framing in (("500 Failed", "Content-Length: 12\r\n"), ("500 Failed", ""), ("404 None", "")):
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -1,6 +1,7 @@
 // Tests of the gateway's decisions without network access: routes, server choice, cold servers, and event streams.
 #include <agatespar/gateway/event_splitter.h>
 #include <agatespar/gateway/fleet_state.h>
+#include <agatespar/gateway/run_times.h>
 #include <agatespar/gateway/server_choice.h>
 #include <agatespar/gateway/service_map.h>
 
@@ -370,22 +371,93 @@
     manual_clock time;
     fleet_server server;
     server.in_flight = 2;
-    CHECK(estimated_load(server, time.now()) == 2);
+    const auto load = [&](duration report_lifetime = 4s) {
+        return estimated_load(server, report_lifetime, time.now());
+    };
+    CHECK(load() == 2);
     answer_metadata facts;
     facts.load = reported_load{6, 1, 8, {}};
     note_answer(server, facts, time.now());
-    CHECK(estimated_load(server, time.now()) == 7);
+    CHECK(load() == 7);
     server.in_flight = 4;
-    CHECK(estimated_load(server, time.now()) == 9);
+    CHECK(load() == 9);
     server.in_flight = 0;
-    CHECK(estimated_load(server, time.now()) == 5);
+    CHECK(load() == 5);
     WHEN("the report ages, it counts less: a server that was full gets requests again")
     {
         // Failure: all servers of a small service report a full load once, and then never get a request.
         time.advance(2s);
-        CHECK(estimated_load(server, time.now()) == 2);
+        CHECK(load() == 2);
         time.advance(10s);
-        CHECK(estimated_load(server, time.now()) == 0);
+        CHECK(load() == 0);
+    }
+    WHEN("it ages at a service whose requests end soon")
+    {
+        time.advance(100ms);
+        CHECK(load(200ms) == 2);
+        time.advance(100ms);
+        CHECK(load(200ms) == 0);
+    }
+}
+
+// Guards against refusals at a plain service, all of whose reports are a second old and say that its servers are full,
+// while a request runs for 20 ms.
+SCENARIO("load reports age according to how long requests run at the service")
+{
+    manual_clock time;
+    service_run_times times;
+    const auto lifetime = [&] { return load_report_lifetime(times, time.now()); };
+    const auto note = [&](request_kind kind, duration run_time, int answers = 1) {
+        for (int i = 0; i < answers; ++i) {
+            note_run_time(times, kind, run_time, time.now());
+        }
+    };
+    WHEN("no request has been answered yet")
+    {
+        CHECK(lifetime() == 4s);
+    }
+    WHEN("requests take 20 ms")
+    {
+        note(request_kind::safe, 20ms, 3);
+        CHECK(lifetime() == 100ms);
+        fleet_server server;
+        answer_metadata facts;
+        facts.load = reported_load{8, 0, 8, {}};
+        note_answer(server, facts, time.now());
+        CHECK(estimated_load(server, lifetime(), time.now()) == 8);
+        time.advance(1s);
+        CHECK(estimated_load(server, lifetime(), time.now()) == 0);
+    }
+    WHEN("requests take 5 s, a report from half a second ago is still valid")
+    {
+        note(request_kind::unsafe, 5s);
+        CHECK(lifetime() == 4s);
+    }
+    WHEN("some requests are streams, which run longest")
+    {
+        note(request_kind::streaming, 500ms);
+        note(request_kind::safe, 20ms, 100);
+        CHECK(lifetime() == 1500ms);
+        THEN("they do not count any more some time after the last one")
+        {
+            time.advance(40s);
+            note(request_kind::safe, 20ms);
+            CHECK(lifetime() == 100ms);
+        }
+    }
+    WHEN("run times change, the newer ones count more")
+    {
+        note(request_kind::safe, 20ms, 4);
+        time.advance(10s);
+        note(request_kind::safe, 400ms, 4);
+        CHECK(lifetime() > 900ms);
+        CHECK(lifetime() < 1200ms);
+    }
+    WHEN("nothing has been answered for a long time, nothing is known")
+    {
+        note(request_kind::safe, 20ms, 4);
+        time.advance(24h);
+        CHECK(lifetime() == 4s);
     }
 }
 
@@ -639,7 +711,7 @@
     options[2].prompt_weight = 9;
     options[1].prompt_weight = 5;
     CHECK(choose_server(options, true, {}, random) == 2U);
-    options[2].backlog = estimated_backlog(server, time.now());
+    options[2].backlog = estimated_backlog(server, 4s, time.now());
     CHECK(choose_server(options, true, {}, random) == 1U);
     WHEN("the server reports waiting requests, these count too, for a while")
     {
@@ -647,8 +719,8 @@
         answer_metadata facts;
         facts.load = reported_load{3, 6, 48, {}};
         note_answer(server, facts, time.now());
-        CHECK(estimated_backlog(server, time.now()) > 4);
+        CHECK(estimated_backlog(server, 4s, time.now()) > 4);
         time.advance(2s);
-        CHECK(estimated_backlog(server, time.now()) == 0);
+        CHECK(estimated_backlog(server, 4s, time.now()) == 0);
     }
 }
