Weigh servers by the speed that they report

Cause: a server whose machine others are using got as many requests as one that works at its usual speed.

Change: the reported slowness is smoothed per server with a time constant of one second; the usual value counts as one more report, so that a single noisy one changes little. It is not used 3 s after the last report. Servers of equal speed, such as those that do not report it, are compared as before.

Measured: 64 choices among random servers without a slowness are those of the code before (unittest_gateway).

--- a/include/agatespar/gateway/server_choice.h
+++ b/include/agatespar/gateway/server_choice.h
@@ -21,6 +21,8 @@
     /// Rendezvous hashing weight of the server for the prompt prefix that the request shares with others; equal on all
     /// VMs.
     std::uint64_t prompt_weight{0};
+    /// How long work takes at the server at present, relative to the usual time. Servers that do not say count as 1.
+    double slowness{1};
 };
 
 struct choice_settings {
--- a/include/agatespar/gateway/server_directory.h
+++ b/include/agatespar/gateway/server_directory.h
@@ -1,6 +1,7 @@
 // The backend servers known to this VM, their estimated state, and the requests that this VM has in flight at each.
 #pragma once
 
+#include <agatespar/gateway/decaying_average.h>
 #include <agatespar/gateway/fleet_records.h>
 #include <agatespar/gateway/protocol.h>
 #include <agatespar/support/clock.h>
@@ -25,6 +26,10 @@
     replaced,
 };
 
+/// Half-life of the reported slowness, for a time constant of one second: single values are noise and change many times
+/// a second.
+inline constexpr std::chrono::milliseconds slowness_half_life{700};
+
 /// A backend server and this VM's view of it. Its users share ownership, so it stays valid after the server was removed
 /// from the directory.
 struct fleet_server {
@@ -42,6 +47,8 @@
     reported_load reported;
     std::uint32_t in_flight_at_report{0};
     steady_time reported_at;
+    /// The slowness that the server reported, in percent of the usual time of work.
+    decaying_average slowness_percent{slowness_half_life, 0, 0, {}};
     /// When this VM last received a byte of any answer from the server.
     steady_time last_received_at;
     /// When a health probe of the server last failed or timed out.
@@ -80,6 +87,10 @@
 /// as much. @param report_lifetime as for estimated_load().
 double estimated_backlog(const fleet_server& server, duration report_lifetime, steady_time now);
 
+/// @return how long work takes at a server at present, relative to the usual time: the smoothed reports of the last
+/// seconds; 1 if there are none.
+double present_slowness(const fleet_server& server, steady_time now);
+
 /// When servers whose entries have lapsed are removed.
 struct directory_settings {
     /// How long a server whose entry lapsed during a store outage is kept after the store is back: the platform
@@ -131,7 +142,8 @@
     std::optional<steady_time> store_back_at_;
 };
 
-/// Records an answer of the server, with the load that it reports, if any. The server is no longer avoided.
+/// Records an answer of the server, with the load and slowness that it reports, if any. The server is no longer
+/// avoided.
 void note_answer(fleet_server& server, const answer_metadata& metadata, steady_time now);
 /// Records a failed attempt. The server is avoided for a time that doubles with each consecutive failure.
 void note_failure(fleet_server& server, steady_time now);
--- a/lib/gateway/server_directory.cpp
+++ b/lib/gateway/server_directory.cpp
@@ -17,6 +17,15 @@
 // the backlog, as some of those prompts have been processed by then.
 static constexpr double waiting_weight = 2;
 static constexpr std::chrono::milliseconds backlog_report_lifetime{1500};
+// A reported slowness is not used after this time: servers share their machines with others, whose load changes within
+// seconds.
+static constexpr std::chrono::seconds slowness_lifetime{3};
+static constexpr double usual_slowness_percent = 100;
+// The usual slowness counts as this many reports, so that a single report, which is mostly noise, changes little.
+static constexpr double usual_slowness_weight = 1;
+// Values outside of this range are taken as its ends, so that one wrong value does not exclude a server for seconds.
+static constexpr std::uint32_t min_slowness_percent = 10;
+static constexpr std::uint32_t max_slowness_percent = 1000;
 // A store outage is taken as the cause of lapsed entries only if at least one in this many servers lapsed.
 static constexpr std::size_t lapsed_servers_divisor = 4;
 // Up to this many VMs, credits do not expire: a dozen simultaneous requests are within what the operators allow beyond
@@ -76,6 +85,15 @@
     return own + (fresh ? waiting_weight * server.reported.waiting : 0);
 }
 
+double present_slowness(const fleet_server& server, steady_time now)
+{
+    const decaying_average& reports = server.slowness_percent;
+    if (reports.weight <= 0 || now - reports.updated_at >= slowness_lifetime) {
+        return 1;
+    }
+    return mean_at(reports, usual_slowness_percent, usual_slowness_weight, now) / usual_slowness_percent;
+}
+
 void server_directory::set(const server_record& record, steady_time now)
 {
     lapsing_.erase(record.name);
@@ -182,6 +200,9 @@
         server.reported = *metadata.load;
         server.in_flight_at_report = server.in_flight;
         server.reported_at = now;
+        if (const auto slowness = metadata.load->slowness_percent) {
+            note_value(server.slowness_percent, std::clamp(*slowness, min_slowness_percent, max_slowness_percent), now);
+        }
     }
     server.failures = 0;
     server.avoid_until = {};
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -58,7 +58,8 @@
         options.push_back({estimated_load(*server, report_lifetime, now), std::max(1U, server->record.slots),
                            estimated_backlog(*server, report_lifetime, now),
                            server->avoid_until > now || is_zone_avoided(server->record.zone),
-                           combine_hashes(prompt_key, stable_hash(server->record.name.value()))});
+                           combine_hashes(prompt_key, stable_hash(server->record.name.value())),
+                           present_slowness(*server, now)});
     }
     const auto chosen = choose_server(options, prefer_prompt_affinity, owner_.settings_.choice, owner_.random_);
     if (!chosen) {
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -554,6 +554,19 @@
         identity, status, _, text = self.fetch("safe")
         self.assertEqual((status, text), (200, "a: b\n\n"), identity)
 
+    # Guards against requests to a server whose machine is slow at present, while another server is idle.
+    def test_a_server_that_reports_that_it_is_slow_gets_fewer_requests(self):
+        def script(headers):
+            slow = self.servers[headers["X-Expect-Runner"]]["address"] == self.scripted[0].address
+            return self.head(headers, framing=f"X-Runner-Load: 0,0,8,{400 if slow else 100}\r\nConnection: close\r\n"
+                                              "Content-Length: 6\r\n") + b"a: b\n\n"
+
+        self.use_script(script)
+        for _ in range(200):
+            self.assertEqual(self.fetch("safe")[1], 200)
+        # It is chosen only if both of two random choices select it, one time in four instead of one in two.
+        self.assertLess(len(self.scripted[0].runs), 75)
+
     # Guards against the text of an error in the middle of a stream.
     def test_a_broken_stream_has_no_error_of_the_next_server_in_it(self):
         for status, framing in (("500 Failed", "Content-Length: 12\r\n"), ("500 Failed", ""), ("404 None", "")):
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -137,6 +137,102 @@
     CHECK(chosen[3] > 200);
 }
 
+// Guards against new requests that are sent to a server whose machine others are using.
+SCENARIO("a server is weighed by its present speed")
+{
+    std::mt19937_64 random{3};
+    std::vector<server_option> options(2, {2, 10, 0, false, 0});
+    const auto share_of_first = [&](bool prefer_prompt_affinity) {
+        int chosen = 0;
+        for (int i = 0; i < 1000; ++i) {
+            chosen += choose_server(options, prefer_prompt_affinity, {1.25, 1}, random) == 0U ? 1 : 0;
+        }
+        return chosen;
+    };
+    options[0].slowness = 2;
+    // It is chosen only if both random choices select it: one in four.
+    CHECK(share_of_first(false) < 350);
+    WHEN("it is idle, and the other one has little load")
+    {
+        options[0].load = 0;
+        CHECK(share_of_first(false) > 650);
+        options[0].slowness = 4;
+        CHECK(share_of_first(false) < 350);
+    }
+    WHEN("it is preferred for its prompts, until its load would be over the bound at its speed")
+    {
+        options[0].prompt_weight = 9;
+        CHECK(share_of_first(true) == 1000);
+        options[0].slowness = 4;
+        CHECK(share_of_first(true) == 0);
+    }
+}
+
+SCENARIO("servers that do not report their speed are chosen as before it was known")
+{
+    // Drawn with the code before servers were weighed by their speed.
+    const std::string before = "1224421242213130433130414333341243400204434130113424200011223103";
+    std::mt19937_64 random{11};
+    std::string chosen;
+    for (std::size_t round = 0; round < before.size(); ++round) {
+        std::vector<server_option> options(5);
+        for (server_option& option : options) {
+            option.load = static_cast<std::uint32_t>(random() % 9);
+            option.slots = 8;
+            option.backlog = static_cast<double>(random() % 4) / 2;
+            option.avoided = random() % 4 == 0;
+            option.prompt_weight = random();
+            option.slowness = present_slowness({}, steady_time{1h});
+        }
+        chosen += std::to_string(choose_server(options, round % 2 == 1, {1.25, 1.01}, random).value_or(9));
+    }
+    CHECK(chosen == before);
+}
+
+SCENARIO("a server's reports of its slowness are smoothed and expire")
+{
+    manual_clock time;
+    fleet_server server;
+    const auto report = [&](std::optional<std::uint32_t> percent) {
+        answer_metadata facts;
+        facts.load = reported_load{1, 0, 8, percent};
+        note_answer(server, facts, time.now());
+    };
+    const auto slowness = [&] { return present_slowness(server, time.now()); };
+    report(std::nullopt);
+    CHECK(slowness() == 1);
+    WHEN("the values are noise around the usual one")
+    {
+        for (int i = 0; i < 200; ++i) {
+            time.advance(10ms);
+            report(i % 2 == 0 ? 20 : 180);
+            CHECK(slowness() > 0.5);
+            CHECK(slowness() < 1.5);
+        }
+        CHECK(slowness() == Approx(1).epsilon(0.05));
+    }
+    WHEN("work takes longer from now on, this is known within a few seconds")
+    {
+        for (int i = 0; i < 100; ++i) {
+            time.advance(30ms);
+            report(300);
+        }
+        CHECK(slowness() > 2.8);
+        THEN("it is not used some seconds after the last report")
+        {
+            time.advance(2900ms);
+            CHECK(slowness() > 1);
+            time.advance(200ms);
+            CHECK(slowness() == 1);
+        }
+    }
+    WHEN("a single value is out of range, the server is not excluded")
+    {
+        report(1'000'000);
+        CHECK(slowness() < 6);
+    }
+}
+
 static server_record make_record(const std::string& name)
 {
     server_record record;
