Move stalled streams while another server can still answer in time

Cause: a stream that had begun left a silent server after half of the client's time-out, whatever time was left: with a deadline of 4 s and pauses of 1 s after 4 s. A request whose answer was discarded for a larger model was sent again to the same server.

Change: the stream is moved after half of the time that was left when the silence began, if that is sooner, but not before the silence limit of its route. The larger model is asked at a server that has not been tried, then at the one that answered, and only then at one that failed.

--- a/include/agatespar/gateway/silence.h
+++ b/include/agatespar/gateway/silence.h
@@ -24,6 +24,8 @@
     int answered_probes{0};
     /// The client does not read what has arrived, so nothing more is read from the server.
     bool held_by_client{false};
+    /// When the request has to be answered.
+    steady_time deadline{steady_time::max()};
 };
 
 /// @return the time from now until the request has to be checked again, or nothing if it must not be retried.
--- a/lib/gateway/silence.cpp
+++ b/lib/gateway/silence.cpp
@@ -25,6 +25,9 @@
 // Fraction of the clients' time-out after which a stream that has begun is resumed on another server although its
 // server is up; the other half is left for that server.
 static constexpr double stall_timeout_fraction = 0.5;
+// The same as a fraction of the time that was left when the silence began: with little time left, the client's time-out
+// is longer than that, and no other server could answer any more.
+static constexpr double stall_time_left_fraction = 0.5;
 // Each answered probe doubles the silence before the next one, up to this many times: a server that has just answered
 // is usually busy, and probes occupy its slots and cost money.
 static constexpr int max_doublings = 3;
@@ -49,11 +52,14 @@
     return std::max<duration>(min_plain_timeout, fraction_of(or_default(route.goal), plain_goal_fraction));
 }
 
-static duration max_stall(const service_route& route)
+static duration max_stall(const waiting_request& request)
 {
+    const service_route& route = *request.route;
     const auto client_timeout = std::max(
         {min_client_timeout, client_timeout_in_goals * route.goal, client_timeout_in_gap_goals * route.gap_goal});
-    return fraction_of(client_timeout, stall_timeout_fraction);
+    const auto time_left = std::chrono::duration_cast<std::chrono::milliseconds>(request.deadline - request.since);
+    return std::min(fraction_of(client_timeout, stall_timeout_fraction),
+                    fraction_of(time_left, stall_time_left_fraction));
 }
 
 std::optional<duration> next_check_delay(const waiting_request& request, steady_time now)
@@ -77,7 +83,7 @@
     if (request.route->kind != request_kind::streaming) {
         return silence_action::switch_server;
     }
-    if (request.answer_begun && now - request.since >= max_stall(*request.route)) {
+    if (request.answer_begun && now - request.since >= max_stall(request)) {
         return silence_action::switch_server;
     }
     const int doublings = std::min(request.answered_probes, max_doublings);
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
     std::shared_ptr<fleet_server> pick_server();
     /// @return whether servers of other zones are preferred for this request.
     bool is_zone_avoided(const zone_name& zone) const;
+    std::shared_ptr<fleet_server> pick_server_except(std::span<const server_name> excluded);
     attempt_metadata describe_attempt(const fleet_server& server) const;
     /// Subtracts the request's prompt from the server's unread tokens: the server has begun to answer or never will, so
     /// the prompt no longer delays other requests there.
@@ -184,6 +186,8 @@
     std::set<zone_name> silent_zones_;
     /// At the last choice of a server, the zones of all eligible ones were unreachable.
     bool no_server_reachable_{false};
+    /// The servers that were tried with a smaller model, in order: the last one answered, the others failed.
+    std::vector<server_name> tried_smaller_model_;
     std::optional<crash_suspects> suspects_;
     /// Servers that crashed before they had begun to answer the request.
     int crashes_{0};
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -2,6 +2,7 @@
 #include "transparent_request.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace agatespar {
 
@@ -78,8 +79,7 @@
         if (try_retry(retry_reason::larger_model, "a larger model answers")) {
             model_ = route_->model_tiers.back();
             model_tier_ = route_->model_tiers.size() - 1;
-            // A server that has run the smaller model may run the larger one too.
-            tried_.clear();
+            tried_smaller_model_ = std::exchange(tried_, {});
             return;
         }
     }
@@ -117,6 +117,24 @@
     return *metadata.confidence < min_confidence && retry_permitted();
 }
 
+std::shared_ptr<fleet_server> transparent_request::pick_server()
+{
+    if (tried_smaller_model_.empty()) {
+        return pick_server_except(tried_);
+    }
+    // The larger model is asked at another server: the one that failed may be faulty, and the one that answered may
+    // hold back the new request of an answer that was cut off. If no other server is usable, they may run it too: first
+    // the one that answered.
+    std::vector<server_name> excluded = tried_;
+    excluded.insert(excluded.end(), tried_smaller_model_.begin(), tried_smaller_model_.end());
+    auto server = pick_server_except(excluded);
+    if (!server) {
+        excluded.pop_back();
+        server = pick_server_except(excluded);
+    }
+    return server ? server : pick_server_except(tried_);
+}
+
 void transparent_request::on_body(std::string_view bytes)
 {
     if (!call_) {
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -21,13 +21,13 @@
 // Clients honour a Retry-After of up to this fraction of the time that they have left (PROTOCOL.md, Answers).
 static constexpr int max_retry_after_divisor = 3;
 
-std::shared_ptr<fleet_server> transparent_request::pick_server()
+std::shared_ptr<fleet_server> transparent_request::pick_server_except(std::span<const server_name> excluded)
 {
     const steady_time now = owner_.loop_.time().now();
     server_criteria need;
     need.service = &service_;
     need.model = model_ ? model_ : metadata_.model;
-    need.tried = tried_;
+    need.tried = excluded;
     if (const rollout_watch* watch = owner_.fleet_.rollout_of(service_)) {
         need.version = current_choice(*watch, version_, version_target_);
         need.target = &watch->order().target;
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -33,6 +33,7 @@
     const auto partial_head = call_ ? call_->partial_head_since() : std::nullopt;
     waiting.answer_begun = answer_started_ || partial_head;
     waiting.since = partial_head.value_or(last_progress_at_);
+    waiting.deadline = deadline_;
     return waiting;
 }
 
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -183,6 +183,19 @@
         self.assertEqual((status, text), (200, self.expected_events("large")))
         self.assertEqual(self.count_runs(identity), 2)
 
+    # Guards against a server that holds back a request because it still runs the answer that was discarded.
+    def test_the_larger_model_is_asked_at_another_server_if_there_is_one(self):
+        self.set_service_faults("talk", confidence=5)
+        for _ in range(4):
+            identity, status, _, text = self.fetch("stream")
+            self.assertEqual((status, text), (200, self.expected_events("large")))
+            self.assertEqual([self.fleet.counts(name)["runs"].get(identity, 0) for name in ("talk-1", "talk-2")], [1, 1])
+        self.publish_server("talk-1", "draining")
+        wait_until(lambda: self.log_lines("vm-1", "server_leaving"), "the server to be known as leaving")
+        identity, status, _, text = self.fetch("stream")
+        self.assertEqual((status, text), (200, self.expected_events("large")))
+        self.assertEqual(self.fleet.counts("talk-2")["runs"][identity], 2)
+
     def test_the_answer_of_the_small_model_is_kept_when_little_time_is_left(self):
         self.set_service_faults("talk", confidence=20)
         identity, status, headers, text = self.fetch("stream", headers={"X-Deadline-Ms": "900"})
@@ -303,6 +316,15 @@
         self.assertEqual((status, text), (200, self.expected_events("small")))
         self.assertEqual(self.count_runs(identity), 2)
 
+    # Guards against a stream that waits for its silent server until its deadline, as half of the client's time-out is 4 s.
+    def test_a_stalled_stream_with_little_time_left_resumes_on_another_server_in_time(self):
+        identity, _, _, _ = self.fetch("stream")
+        first_server = next(name for name in self.servers if self.fleet.counts(name)["runs"].get(identity, 0) == 1)
+        self.fleet.faults(first_server, trickles=True)
+        identity, status, _, text = self.fetch("stream", headers={"X-Deadline-Ms": "3500"})
+        self.assertEqual((status, text), (200, self.expected_events("small")))
+        self.assertEqual(self.count_runs(identity), 2)
+
     def test_a_stream_whose_client_pauses_reading_is_not_treated_as_stalled(self):
         # Larger than all socket buffers on the path, so that reading from the server is paused as well.
         self.set_service_faults("talk", events=40, padding=500_000)
--- a/unittests/gateway/silence_test.cpp
+++ b/unittests/gateway/silence_test.cpp
@@ -105,10 +105,29 @@
         CHECK(evaluate_at(999ms) == silence_action::wait);
         CHECK(evaluate_at(1s) == silence_action::switch_server);
     }
+    GIVEN("a deadline, half of the time until which is left for the other server")
+    {
+        // Failure: with a pause of one second between events, streams are waited for until their deadline in four.
+        route.gap_goal = 1s;
+        request.deadline = start + 4s;
+        CHECK(evaluate_at(1999ms) == silence_action::wait);
+        CHECK(evaluate_at(2s) == silence_action::switch_server);
+        request.deadline = start + 20s;
+        CHECK(evaluate_at(3999ms) == silence_action::wait);
+        CHECK(evaluate_at(4s) == silence_action::switch_server);
+    }
+    GIVEN("a deadline that is near, a silence within the limit of the route is still waited for")
+    {
+        route.gap_goal = 1s;
+        request.deadline = start + 600ms;
+        CHECK(evaluate_at(499ms) == silence_action::wait);
+        CHECK(evaluate_at(500ms) == silence_action::switch_server);
+    }
     GIVEN("a stream that has not begun: its prompt is queued, and on another server it would be queued anew")
     {
         route.goal = 2s;
         request.answer_begun = false;
+        request.deadline = start + 4s;
         CHECK(evaluate_at(20s) == silence_action::wait);
     }
     GIVEN("a client that does not read what has arrived, so that nothing is read from its server")
