Refuse requests that were not sent with 503 and Retry-After, also at their deadline

Cause: a request whose deadline passed while a connection to its server was being opened was answered 504, although no byte of it had been sent; a client could not repeat it if it may run once only. A silent server was counted as one that may have run the request, and a crash verdict likewise, while the connection was still being opened.

Change: client_call::state() tells whether a part of the request may have left this process. At the deadline, on leaving a silent server and on a verdict, a request that has not left it counts as not sent.

The cases of silence and of verdicts have no test.

--- a/include/agatespar/http/client.h
+++ b/include/agatespar/http/client.h
@@ -62,6 +62,8 @@
     /// @return how long its own connection took to open, that is a round trip; nothing for a reused connection and for
     /// one that is not open yet.
     std::optional<duration> connect_time() const { return connect_time_; }
+    /// @return whether a part of the request may have left this process; `sent` also after the call has ended.
+    send_state state() const { return stream_ && !stream_->has_sent() ? send_state::not_sent : send_state::sent; }
     /// @return whether the call uses a connection that an earlier call opened.
     bool is_reused() const { return !opened_at_; }
 
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -169,7 +169,9 @@
         abort_answer("the time was over");
         return;
     }
-    const bool not_run = progress_ == progress::nothing_ran && !call_;
+    // While its connection is being opened, nothing of the request has been sent.
+    const bool may_be_sent = call_ && call_->state() == send_state::sent;
+    const bool not_run = progress_ == progress::nothing_ran && !may_be_sent;
     answer_error(not_run ? 503 : 504, "the time was over");
 }
 
--- a/lib/gateway/transparent_request_crash.cpp
+++ b/lib/gateway/transparent_request_crash.cpp
@@ -163,7 +163,9 @@
     }
     const auto until = owner_.crashes_.refused_until(suspects(), owner_.loop_.time().now());
     if (until) {
-        progress_ = progress::may_have_run;
+        if (call_->state() == send_state::sent) {
+            progress_ = progress::may_have_run;
+        }
         refuse_crashing_request(until);
     }
     return until.has_value();
--- a/lib/gateway/transparent_request_silence.cpp
+++ b/lib/gateway/transparent_request_silence.cpp
@@ -128,6 +128,10 @@
 
 void transparent_request::abandon_server(bool is_up)
 {
+    if (call_->state() == send_state::not_sent) {
+        on_failed({send_state::not_sent, "the server did not take the connection in time"});
+        return;
+    }
     const steady_time now = owner_.loop_.time().now();
     const progress progress_before = progress_;
     const bool counted_before = run_counted_;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -600,6 +600,62 @@
                 self.assertFalse(received.endswith(b"0\r\n\r\n"), received)
 
 
+class WithUnreachableServers(GatewayCase):
+    """Servers that refuse connections, or that do not accept them."""
+
+    def use_address(self, address, names=("calls-1", "calls-2")):
+        def count(event):
+            return [line["server"] for line in self.log_lines("vm-1", event)].count(name)
+
+        for name in names:
+            gone, ready = count("server_entry_gone"), count("server_ready")
+            self.put_record("keyed.servers", name, None)
+            wait_until(lambda: count("server_entry_gone") > gone, "the server's entry to be gone")
+            self.servers[name]["address"] = address
+            self.publish_server(name, "ready")
+            wait_until(lambda: count("server_ready") > ready, "the address to be known")
+
+    def closed_address(self):
+        """Returns an address that refuses connections."""
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            return "127.0.0.1:%d" % listener.getsockname()[1]
+
+    def full_address(self):
+        """Returns an address where connections are neither accepted nor refused: all pending ones are in use."""
+        listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        for _ in range(3):
+            pending = socket.socket()
+            self.addCleanup(pending.close)
+            pending.setblocking(False)
+            pending.connect_ex(listener.getsockname())
+        return "127.0.0.1:%d" % listener.getsockname()[1]
+
+    def check_refused(self, kind, **headers):
+        _, status, fields, text = self.fetch(kind, headers=headers)
+        self.assertEqual(status, 503, text)
+        self.assertGreater(float(fields["Retry-After"]), 0)
+
+    # Guards against a failure that a client must not repeat, for a request that has reached no server.
+    def test_a_request_that_was_not_sent_is_refused_with_a_time_to_return(self):
+        for address in (self.closed_address(), self.full_address()):
+            self.use_address(address)
+            for kind in ("unsafe", "safe"):
+                with self.subTest(address=address, kind=kind):
+                    self.check_refused(kind)
+                    # The connection is still being opened at the deadline.
+                    self.check_refused(kind, **{"X-Deadline-Ms": "80"})
+
+    # Guards against a promise that is not true: the first server may have run the request.
+    def test_a_request_that_one_server_may_have_run_is_not_refused(self):
+        self.fleet.faults("calls-1", loses_answers=True)
+        self.use_address(self.closed_address(), names=["calls-2"])
+        for _ in range(4):
+            _, status, fields, _ = self.fetch("safe")
+            self.assertIn(status, (502, 504))
+            self.assertNotIn("Retry-After", fields)
+
+
 class WithUnprovenRefusals(ScriptedServersCase):
     """Servers run each request, then answer with a status that denies it, without the proof of a refusal."""
 
