Test that a call tells whether a part of its request may have left

Change: a case of the client's scenario on failed calls: not_sent while the connection is opened, sent from the first byte on and after a cancel.

--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -184,6 +184,16 @@
         CHECK(second.failed->state == send_state::sent);
         CHECK(test.server.peers.size() == 1);
     }
+    WHEN("it has not failed yet, it is known whether a part of the request may have left")
+    {
+        // Guards against a request that is reported as possibly run while its connection is still being opened.
+        const auto call = test.start(result);
+        CHECK(call->state() == send_state::not_sent);
+        test.wait_for_request(0);
+        CHECK(call->state() == send_state::sent);
+        call->cancel();
+        CHECK(call->state() == send_state::sent);
+    }
     WHEN("the answer is truncated")
     {
         const auto call = test.start(result);
