--- a/include/agatespar/http/output_queue.h
+++ b/include/agatespar/http/output_queue.h
@@ -11,6 +11,8 @@
 
 namespace agatespar {
 
+/// Bytes up to this size are copied to others that are sent with them, which is faster than a buffer of their own.
+inline constexpr std::size_t max_joined_bytes = std::size_t{16} * 1024;
 /// Buffers that one system call sends in order; unused ones are empty.
 using output_parts = std::array<std::string_view, 8>;
 
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -11,8 +11,6 @@
 // Maximum number of answers, interim ones or to other requests, that are skipped before the expected one. A connection
 // has few abandoned requests, and servers send few interim answers.
 static constexpr int max_skipped_answers = 16;
-// A body up to this size is copied into one buffer with the head, which is faster than a second buffer.
-static constexpr std::size_t max_joined_body_bytes = std::size_t{16} * 1024;
 static constexpr int status_continue = 100;
 static constexpr int first_final_status = 200;
 
@@ -99,7 +97,7 @@
     start_reading();
     const std::string_view body = request.shared_body ? std::string_view{*request.shared_body} : request.body;
     std::string message = write_request_head(request.head, body.size());
-    if (request.shared_body && body.size() > max_joined_body_bytes) {
+    if (request.shared_body && body.size() > max_joined_bytes) {
         stream_->write(message, request.shared_body);
         return;
     }
--- a/lib/http/output_queue.cpp
+++ b/lib/http/output_queue.cpp
@@ -6,9 +6,6 @@
 
 namespace agatespar {
 
-// Small writes are joined up to this size, so that a queue of many events has few segments.
-static constexpr std::size_t max_joined_bytes = std::size_t{16} * 1024;
-
 void output_queue::count_in(std::shared_ptr<memory_budget> budget, memory_holder holder)
 {
     held_ = memory_reservation{std::move(budget), holder};
--- a/lib/http/server.cpp
+++ b/lib/http/server.cpp
@@ -11,8 +11,6 @@
 
 // Minimum time between two log lines about the limit on connections.
 static constexpr std::chrono::seconds limit_log_interval{10};
-// A body up to this size is copied into one buffer with the head, which is faster than a second buffer.
-static constexpr std::size_t max_joined_body_bytes = std::size_t{16} * 1024;
 
 http_answer_head local_answer_head(int status)
 {
@@ -83,7 +81,7 @@
                                     bool must_deliver)
 {
     const std::string_view bytes = *body;
-    send_answer(head, bytes, bytes.size() > max_joined_body_bytes ? std::move(body) : nullptr, must_deliver);
+    send_answer(head, bytes, bytes.size() > max_joined_bytes ? std::move(body) : nullptr, must_deliver);
 }
 
 void server_exchange::send_answer(const http_answer_head& head, std::string_view body,
