--- a/include/agatespar/routing/admission.h
+++ b/include/agatespar/routing/admission.h
@@ -2,20 +2,13 @@
 #pragma once
 
 #include <agatespar/routing/indices.h>
+#include <agatespar/routing/start_rate.h>
 #include <agatespar/support/clock.h>
 
-#include <array>
+#include <vector>
 
 namespace agatespar {
 
-/// Whether a request may enter the queue, and its estimated waiting time.
-struct admission_verdict {
-    bool admitted{false};
-    duration expected_wait{0};
-    /// For a refused request: the estimated time until the queue is short enough.
-    std::chrono::milliseconds retry_after{0};
-};
-
 /// Estimates the waiting time of each request class on this VM by Little's law: the queue length divided by the rate at
 /// which requests start, whether they queued before or not.
 class admission {
@@ -43,25 +36,14 @@
     std::size_t queued(class_index request_class) const { return queues_[request_class.value()].queued; }
 
 private:
-    /// An exponentially decaying count of starts. In a steady state it equals the start rate times the time constant.
-    struct decaying_count {
-        double starts{0};
-        steady_time updated;
-    };
-    /// The queue length and the start counts of one class.
+    /// The queue length and the start rates of one class.
     struct class_queue {
         std::size_t queued{0};
-        decaying_count short_term;
-        decaying_count long_term;
+        start_rate short_term;
+        start_rate long_term;
     };
 
-    /// @return the average starts per second.
-    static double rate(const decaying_count& count, duration time_constant, steady_time now);
-    static void count_start(decaying_count& count, duration time_constant, steady_time now);
-
-    duration time_constant_;
-    duration long_time_constant_;
-    std::array<class_queue, max_classes> queues_{};
+    std::vector<class_queue> queues_;
 };
 
 } // namespace agatespar
