Let requests wait until a server has room

Requests were answered 503 as soon as the estimate of each server's load was at its slots, although a slot becomes free after some tens of milliseconds.

Where priorities differ between routes or accounts, a request now waits on its VM in the order of waiting_queue. It leaves the queue with its client, and a stopping VM answers it 503 at once.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -10,6 +10,7 @@
 #include <agatespar/gateway/record_relay.h>
 #include <agatespar/gateway/run_times.h>
 #include <agatespar/gateway/server_choice.h>
+#include <agatespar/gateway/service_queues.h>
 #include <agatespar/gateway/service_retry_budget.h>
 #include <agatespar/gateway/topic_follower.h>
 #include <agatespar/http/client.h>
@@ -159,6 +160,8 @@
     /// Counts a load report that cannot be read, and logs it at most once a second.
     void note_unreadable_load(const fleet_server& server, const std::string& text);
     service_retry_budget& budget_of(const service_name& service);
+    /// @return whether requests under this configuration wait for room.
+    bool waits_for_room(const std::shared_ptr<const service_map>& map);
     /// @return the number of VMs that fleet-wide limits are divided among.
     double assumed_vms() const;
     /// @return the number of VMs that are listed, at least one.
@@ -188,6 +191,10 @@
     std::map<service_name, service_retry_budget> budgets_;
     std::map<service_name, model_pressure> pressures_;
     std::map<service_name, service_run_times> run_times_;
+    service_queues queues_;
+    /// The configuration that waits_for_room() evaluated last, and the result.
+    std::shared_ptr<const service_map> evaluated_map_;
+    bool waits_for_room_{false};
     /// Times that connections to servers of a zone took to open.
     std::map<zone_name, recent_times> round_trips_;
     std::optional<steady_time> unreadable_load_logged_at_;
--- a/include/agatespar/gateway/request_report.h
+++ b/include/agatespar/gateway/request_report.h
@@ -53,6 +53,8 @@
     /// Time to the first byte of the answer that the client got; zero if there was none.
     std::chrono::milliseconds first_byte{0};
     std::chrono::milliseconds total{0};
+    /// Time that the request waited on this VM until a server had room.
+    std::chrono::milliseconds waited{0};
     std::vector<attempt_report> attempts;
 };
 
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -77,7 +77,7 @@
     : loop_(loop), settings_(settings), protocol_(protocol),
       store_(count_store_calls(store, metrics_, [this] { return relay_ ? relay_->role() : "start"; })), pool_(pool),
       on_stopped_(std::move(on_stopped)), random_(stable_hash(settings.vm_name)),
-      fleet_(store_, settings.rollouts, own_boot_id(settings.vm_name, loop))
+      fleet_(store_, settings.rollouts, own_boot_id(settings.vm_name, loop)), queues_(loop, metrics_, random_())
 {
     make_followers(count_relay_bytes(open_link, metrics_));
     limit_memory();
@@ -350,6 +350,17 @@
     return budget;
 }
 
+bool gateway::waits_for_room(const std::shared_ptr<const service_map>& map)
+{
+    if (map != evaluated_map_) {
+        // Load reports with a figure for the present speed of a server are not read yet.
+        constexpr bool servers_report_speed = false;
+        evaluated_map_ = map;
+        waits_for_room_ = uses_waiting_queue(*map, servers_report_speed);
+    }
+    return waits_for_room_;
+}
+
 bool gateway::update_settings(const gateway_settings& changed)
 {
     const auto addresses = [](const gateway_settings& of) {
@@ -382,6 +393,7 @@
     front_->close_after_answers();
     const steady_time until = loop_.time().now() + settings_.shutdown_timeout - shutdown_margin;
     requests_end_at_ = until - last_answers_margin;
+    queues_.stop();
     for (transparent_request* request : open_requests_) {
         request->limit_time(*requests_end_at_);
     }
--- a/lib/gateway/request_report.cpp
+++ b/lib/gateway/request_report.cpp
@@ -111,6 +111,7 @@
                         {"first_byte_ms", report.first_byte.count()},
                         {"goal_ms", report.goal.count()},
                         {"ms", report.total.count()},
+                        {"waited_ms", report.waited.count()},
                         {"attempts", describe_attempts(report.attempts)}});
 }
 
--- a/lib/gateway/transparent_request.cpp
+++ b/lib/gateway/transparent_request.cpp
@@ -92,6 +92,7 @@
     const auto key_entry = metadata_.key ? map_->keys.find(*metadata_.key) : map_->keys.end();
     if (key_entry != map_->keys.end()) {
         account_ = key_entry->second.account;
+        account_hash_ = stable_hash(account_->value());
     }
     else if (map_->has_accounts && !route_->is_public) {
         answer_error(401, "no client account holds the key");
@@ -104,6 +105,8 @@
         return false;
     }
     service_ = *service;
+    const auto account_priority = account_ ? key_entry->second.priority : std::nullopt;
+    priority_ = account_priority.value_or(route_->priority);
     if (metadata_.accepts_any_model && !route_->model_tiers.empty()) {
         model_ = route_->model_tiers.front();
     }
@@ -221,6 +224,7 @@
     ended_ = true;
     owner_.open_requests_.erase(this);
     cancel_timers({&deadline_timer_, &retry_timer_});
+    leave_queue(status == 0 ? "left" : "refused");
     end_attempt(reason);
     report_.id = metadata_.id;
     report_.account = account_ ? account_->value() : "";
--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -6,6 +6,7 @@
 #include <agatespar/gateway/event_splitter.h>
 #include <agatespar/gateway/gateway.h>
 #include <agatespar/gateway/request_report.h>
+#include <agatespar/gateway/service_queues.h>
 #include <agatespar/gateway/silence.h>
 
 #include <initializer_list>
@@ -51,10 +52,31 @@
     bool resolve_request();
     void choose_version();
     void send_attempt();
+    /// Sends the request to the server that was picked.
+    void start_attempt();
     std::shared_ptr<fleet_server> pick_server();
     /// @return whether servers of other zones are preferred for this request.
     bool is_zone_avoided(const zone_name& zone) const;
     std::shared_ptr<fleet_server> pick_server_except(std::span<const server_name> excluded);
+    /// @return the index of a server without a free slot whose own queue is short enough, or nothing.
+    std::optional<std::size_t> pick_queueing_server(std::span<const std::shared_ptr<fleet_server>> servers) const;
+    /// Lets the request wait until a server has room, or refuses it if that takes too long.
+    /// @return whether it waits or was refused; false if it may not wait.
+    bool wait_for_room();
+    queued_request describe_queued() const;
+    /// @return hash of what the request requires of a server.
+    std::uint64_t hash_of_need() const;
+    /// @return whether requests that would be sent to the same servers wait, so that this one has to wait its turn.
+    bool must_queue() const;
+    /// Sends the waiting request if a server has room. @return whether the request has left the queue.
+    bool start_from_queue();
+    void leave_queue(const char* outcome);
+    /// Refuses the request if the last choice of a server found that none can be reached. @return whether it did.
+    bool refuse_if_unreachable();
+    /// Ends a request for which no server has room.
+    void refuse_for_room(const char* reason, std::optional<std::chrono::milliseconds> retry_after = std::nullopt);
+    /// Tells the queue of the service that the current attempt has ended.
+    void note_place_free();
     attempt_metadata describe_attempt(const fleet_server& server) const;
     /// Subtracts the request's prompt from the server's unread tokens: the server has begun to answer or never will, so
     /// the prompt no longer delays other requests there.
@@ -158,6 +180,10 @@
     service_name service_;
     request_metadata metadata_;
     std::optional<client_account_name> account_;
+    /// Priority of the account if it has one, else of the route; 0 is the highest.
+    int priority_{0};
+    std::uint64_t account_hash_{0};
+    std::optional<queue_ticket> ticket_;
     std::optional<model_name> model_;
     std::size_t model_tier_{0};
     version_choice version_{version_choice::any};
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -26,6 +26,9 @@
     }
     const steady_time now = owner_.loop_.time().now();
     note_answer(*server_, metadata, now);
+    if (metadata.load) {
+        owner_.queues_.on_room(service_);
+    }
     if (metadata.unreadable_load) {
         owner_.note_unreadable_load(*server_, *metadata.unreadable_load);
     }
--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -61,7 +61,10 @@
                            combine_hashes(prompt_key, stable_hash(server->record.name.value())),
                            present_slowness(*server, now)});
     }
-    const auto chosen = choose_server(options, prefer_prompt_affinity, owner_.settings_.choice, owner_.random_);
+    auto chosen = choose_server(options, prefer_prompt_affinity, owner_.settings_.choice, owner_.random_);
+    if (!chosen) {
+        chosen = pick_queueing_server(servers);
+    }
     if (!chosen) {
         return nullptr;
     }
@@ -129,7 +132,6 @@
 
 void transparent_request::send_attempt()
 {
-    const auto self = shared_from_this();
     if (time_left() < min_attempt_time) {
         on_deadline();
         return;
@@ -137,23 +139,32 @@
     if (contain_crashes()) {
         return;
     }
+    if (must_queue() && wait_for_room()) {
+        return;
+    }
     server_ = pick_server();
-    if (!server_) {
-        if (answer_started_) {
-            abort_answer("no server can resume the stream");
-        }
-        else if (progress_ == progress::nothing_ran && no_server_reachable_) {
-            // A partition lasts seconds, and its end is not known: the client comes back as late as it is willing to.
-            answer_error(503, "no server can be reached", time_left() / max_retry_after_divisor);
-        }
-        else if (progress_ == progress::nothing_ran) {
-            answer_error(503, "no server has room");
-        }
-        else {
-            answer_error(502, "no other server has room");
-        }
+    if (server_) {
+        start_attempt();
         return;
     }
+    if (!refuse_if_unreachable() && !wait_for_room()) {
+        refuse_for_room("no server has room");
+    }
+}
+
+bool transparent_request::refuse_if_unreachable()
+{
+    if (!no_server_reachable_ || answer_started_ || progress_ != progress::nothing_ran) {
+        return false;
+    }
+    // A partition lasts seconds, and its end is not known: the client comes back as late as it is willing to.
+    answer_error(503, "no server can be reached", time_left() / max_retry_after_divisor);
+    return true;
+}
+
+void transparent_request::start_attempt()
+{
+    const auto self = shared_from_this();
     ++sends_;
     tried_.push_back(server_->record.name);
     attempt_started_at_ = owner_.loop_.time().now();
@@ -182,6 +193,7 @@
     callbacks.done = [self] { self->on_done(); };
     callbacks.failed = [self](const send_failure& failed) { self->on_failed(failed); };
     ++server_->in_flight;
+    owner_.queues_.on_attempt_started(service_, priority_, account_hash_);
     unread_tokens_ = route_->has_prompts ? metadata_.prompt_tokens.value() : 0;
     server_->unread_tokens += unread_tokens_;
     auto started = owner_.pool_.start(request, std::move(callbacks));
@@ -226,6 +238,7 @@
         assert(server_->in_flight > 0 && "an attempt is counted at its server");
         --server_->in_flight;
         release_unread_tokens();
+        note_place_free();
         server_.reset();
     }
 }
@@ -292,6 +305,11 @@
     else {
         constexpr std::chrono::milliseconds refusal_avoid_duration{100};
         server_->avoid_until = owner_.loop_.time().now() + refusal_avoid_duration;
+        // The attempt itself is part of the estimate.
+        const std::uint32_t load = estimated_load(*server_, load_report_lifetime(owner_.run_times_[service_], owner_.loop_.time().now()),
+                           owner_.loop_.time().now()) - 1;
+        owner_.queues_.note_refusal(server_->record.name,
+                                    queue_length_at_refusal(metadata.load, load, server_->record.slots));
     }
     const char* reason = metadata.answered_by_other_server ? "another server has the address" : "the server refused";
     if (try_retry(retry_reason::failure, reason)) {
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -55,13 +55,18 @@
 class GatewayCase(unittest.TestCase):
     """Starts a store, two servers for each service, and one entry VM."""
 
+    slots = 8
+
+    def configuration(self):
+        return service_map(1)
+
     def setUp(self):
         self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
         self.fleet.start_standin("store", "store")
-        self.sent = 0
+        self.sent = itertools.count(1)
         self.servers = {}
         self.settings = {}
-        self.put_record("keyed.op", "config", service_map(1))
+        self.put_record("keyed.op", "config", self.configuration())
         for service in ("calls", "talk"):
             for number in (1, 2):
                 self.start_server(service, f"{service}-{number}")
@@ -75,7 +80,7 @@
     def start_server(self, service, name, version="v1"):
         address = self.fleet.start_standin(name, "runner", "--name=" + name)
         self.servers[name] = {"backend": service, "address": address, "zone": "hall-a", "version": version,
-                              "slots": 8, "cold_left_ms": 0}
+                              "slots": self.slots, "cold_left_ms": 0}
         self.publish_server(name, "ready")
 
     def publish_server(self, name, state):
@@ -121,8 +126,7 @@
 
     def send(self, kind, entry=None, method=None, headers=None, key=KEY, body=None):
         """Sends one request and returns its id and the connection to read the answer from."""
-        self.sent += 1
-        identity = f"attempt-{self.sent}"
+        identity = f"attempt-{next(self.sent)}"
         host, port = (entry or self.entry)["front"].split(":")
         connection = http.client.HTTPConnection(host, int(port), timeout=30)
         fields = {"Host": "one.example", "X-Attempt-Id": identity, "X-Deadline-Ms": "8000",
@@ -827,7 +831,7 @@
 
     def fetch_prompt(self, *parts, entry=None):
         """Sends a stream whose prompt has these shared parts and one of its own."""
-        own = f"f{self.sent:07x}"
+        own = f"f{next(self.sent):07x}"
         prompt = ",".join(f"{part}:100" for part in (*parts, own))
         return self.fetch("brief", entry=entry, headers={"X-Prompt-Prefix": prompt}, body=own)
 
@@ -1006,6 +1010,110 @@
         self.assertEqual(self.count_runs(identity), 1)
 
 
+class WithFullServers(GatewayCase):
+    """The two servers of a service run four requests at a time, and routes have priorities, so requests wait for room."""
+
+    slots = 2
+    busy_ms = 300
+
+    def configuration(self):
+        read = service_map(1)
+        for route in read["routes"]:
+            route.update(goal_ms=6000, timeout_ms=20000)
+            route["priority"] = 0 if route["name"] == "unsafe" else 1
+        return read
+
+    def setUp(self):
+        super().setUp()
+        self.set_service_faults("calls", late_ms=self.busy_ms)
+        # The VM learns how long requests take.
+        self.assertEqual(self.fetch("safe")[1], 200)
+
+    def fetch_many(self, kind, count, **headers):
+        return [BackgroundTask(lambda: self.fetch(kind, headers=headers)) for _ in range(count)]
+
+    def waiting(self):
+        text = self.http_get(self.entry["metrics"], "/metrics").body
+        lines = [line for line in text.splitlines() if line.startswith('agatespar_waiting_requests{service="calls"}')]
+        return int(float(lines[0].split()[-1])) if lines else 0
+
+    def fill_servers(self, late_ms):
+        """Sends as many requests as the servers run, which take so long. They are not sent again."""
+        self.set_service_faults("calls", late_ms=late_ms)
+        before = self.all_runs()
+        tasks = self.fetch_many("booking", 4)
+        wait_until(lambda: self.all_runs() == before + 4, "the servers to be full")
+        return tasks
+
+    def all_runs(self):
+        return sum(sum(self.fleet.counts(name)["runs"].values()) for name in ("calls-1", "calls-2"))
+
+    def report_of(self, identity):
+        wait_until(lambda: [line for line in self.log_lines("vm-1", "request_ended") if line["request"] == identity],
+                   "the request to end")
+        return [line for line in self.log_lines("vm-1", "request_ended") if line["request"] == identity][-1]
+
+    # Guards against refusals of requests that a short wait would serve.
+    def test_a_small_burst_on_full_servers_is_answered_without_refusals(self):
+        busy = self.fill_servers(self.busy_ms)
+        burst = self.fetch_many("unsafe", 3) + self.fetch_many("safe", 3)
+        answers = [task.wait() for task in busy + burst]
+        self.assertEqual([status for _, status, _, _ in answers], [200] * 10)
+        for identity, _, _, _ in answers:
+            self.assertEqual(self.count_runs(identity), 1)
+        wait_until(lambda: self.log_lines("vm-1", "queueing_ended"), "the end of the queueing to be logged")
+        period = self.log_lines("vm-1", "queueing_ended")[0]
+        self.assertEqual((period["sent"], period["refused"]), (period["waited"], 0))
+        self.assertGreater(period["longest_wait_ms"], 0)
+        self.assertEqual(self.waiting(), 0)
+
+    # Guards against work for a client that has left, and against a place in the queue that it keeps.
+    def test_a_client_that_leaves_while_it_waits_sends_nothing_to_a_server(self):
+        busy = self.fill_servers(3000)
+        leaver, connection = self.send("unsafe")
+        wait_until(lambda: self.waiting() == 1, "the request to wait")
+        connection.close()
+        report = self.report_of(leaver)
+        self.assertEqual((report["outcome"], report["attempts"]), ("left", ""))
+        self.assertEqual(self.waiting(), 0)
+        self.assertEqual([task.wait()[1] for task in busy], [200] * 4)
+        self.assertEqual(self.fetch("unsafe")[1], 200)
+        self.assertEqual(self.count_runs(leaver), 0)
+
+    # Guards against requests that wait until a stopping VM ends, and against an untrue status for them.
+    def test_a_stopping_vm_refuses_waiting_requests_at_once_and_completes_running_ones(self):
+        busy = self.fill_servers(3000)
+        waiting = self.fetch_many("unsafe", 3)
+        wait_until(lambda: self.waiting() == 3, "the requests to wait")
+        stop = BackgroundTask(lambda: self.entry["process"].stop())
+        for task in waiting:
+            identity, status, headers, _ = task.wait()
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 0)
+            self.assertEqual(self.count_runs(identity), 0)
+            self.assertEqual(self.report_of(identity)["reason"], "this VM stops")
+        self.assertEqual([task.wait()[1] for task in busy], [200] * 4)
+        self.assertEqual(stop.wait(), 0)
+
+    # Guards against requests that are held although no place will become free in time.
+    def test_a_request_without_prospect_is_refused_early_with_a_time_to_come_back(self):
+        busy = self.fill_servers(3000)
+        waiting = self.fetch_many("unsafe", 40, **{"X-Deadline-Ms": "3000"})
+        answers = [task.wait() for task in waiting]
+        refused = [answer for answer in answers if answer[1] == 503]
+        self.assertTrue(refused)
+        for identity, _, headers, _ in refused:
+            self.assertGreaterEqual(float(headers["Retry-After"]), 0.2)
+            self.assertEqual(self.count_runs(identity), 0)
+        waits = [self.report_of(identity)["waited_ms"] for identity, _, _, _ in refused]
+        self.assertIn(0, waits)
+        # Half of the time of each client is left.
+        self.assertLess(max(waits), 2000)
+        self.assertGreater(len({headers["Retry-After"] for _, _, headers, _ in refused}), 1)
+        for task in busy:
+            task.wait()
+
+
 class WithRelayedStoreReads(GatewayCase):
     def setUp(self):
         super().setUp()
