Refuse displaced requests from the event loop, and test the order of waiting requests

The refusal of a displaced request answers its client, whose next request may enter the queue before the one that displaced it was added completely. An entry could then stay without a place in the order until its deadline.

Tests: the order within a priority, refusals without a wait while a quarter of the servers is gone, and displacement; each fails when its rule is removed.

--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -192,8 +192,11 @@
     std::map<service_name, model_pressure> pressures_;
     std::map<service_name, service_run_times> run_times_;
     service_queues queues_;
-    /// The configuration that waits_for_room() evaluated last, and the result.
+    /// A server has reported its present speed. Not set yet, as load reports with that figure are not read.
+    bool servers_report_speed_{false};
+    /// What waits_for_room() evaluated last, and the result.
     std::shared_ptr<const service_map> evaluated_map_;
+    bool evaluated_speed_{false};
     bool waits_for_room_{false};
     /// Times that connections to servers of a zone took to open.
     std::map<zone_name, recent_times> round_trips_;
--- a/include/agatespar/gateway/service_queues.h
+++ b/include/agatespar/gateway/service_queues.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <vector>
 
 namespace agatespar {
 
@@ -54,7 +55,8 @@
     service_queues& operator=(const service_queues&) = delete;
     ~service_queues();
 
-    /// Adds a request, or refuses it by its callback. One that is less urgent may be refused in its place.
+    /// Adds a request, or refuses it by its callback. One that is less urgent may be refused in its place, from the
+    /// event loop.
     /// @param request its ticket is set by this function.
     /// @return the ticket, or nothing if the request was refused.
     std::optional<queue_ticket> enter(const service_name& service, queued_request request, waiting_callbacks callbacks);
@@ -91,6 +93,8 @@
     struct service_queue {
         waiting_queue order;
         std::map<queue_ticket, entry> entries;
+        /// Displaced requests that have not been refused yet.
+        std::vector<queue_ticket> displaced;
         std::map<route_name, route_times> times;
         recent_times run;
         start_rate ends{std::chrono::seconds{2}};
@@ -103,6 +107,7 @@
                 std::optional<std::chrono::milliseconds> retry_after);
     void count_refusal(const service_name& service, std::string_view reason);
     void schedule_retry(duration delay);
+    void post_retry();
     void retry_all();
     void retry_service(const service_name& service, service_queue& queue);
     void begin_period(const service_name& service, service_queue& queue);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -352,11 +352,10 @@
 
 bool gateway::waits_for_room(const std::shared_ptr<const service_map>& map)
 {
-    if (map != evaluated_map_) {
-        // Load reports with a figure for the present speed of a server are not read yet.
-        constexpr bool servers_report_speed = false;
+    if (map != evaluated_map_ || servers_report_speed_ != evaluated_speed_) {
         evaluated_map_ = map;
-        waits_for_room_ = uses_waiting_queue(*map, servers_report_speed);
+        evaluated_speed_ = servers_report_speed_;
+        waits_for_room_ = uses_waiting_queue(*map, servers_report_speed_);
     }
     return waits_for_room_;
 }
--- a/lib/gateway/service_queues.cpp
+++ b/lib/gateway/service_queues.cpp
@@ -110,7 +110,9 @@
     const double rate = places_per_second(queue);
     const queue_verdict verdict = queue.order.admit(request, rate, now);
     if (verdict.displaced) {
-        refuse(service, *verdict.displaced, "displaced", queue.order.time_to_empty(rate));
+        // Refused later, as the next request of its client may enter the queue within that call.
+        queue.displaced.push_back(*verdict.displaced);
+        post_retry();
     }
     if (verdict.refused) {
         count_refusal(service, name_of(*verdict.refused));
@@ -191,14 +193,20 @@
 void service_queues::on_room(const service_name& service)
 {
     const auto known = queues_.find(service);
-    if (known == queues_.end() || known->second.entries.empty() || posted_) {
-        return;
+    if (known != queues_.end() && !known->second.entries.empty()) {
+        post_retry();
+    }
+}
+
+// Posted, as the caller may be a callback of the attempt that ends.
+void service_queues::post_retry()
+{
+    if (!posted_) {
+        posted_ = loop_.post([this] {
+            posted_.reset();
+            retry_all();
+        });
     }
-    // Posted, as the caller may be a callback of the attempt that ends.
-    posted_ = loop_.post([this] {
-        posted_.reset();
-        retry_all();
-    });
 }
 
 void service_queues::note_refusal(const server_name& server, std::uint32_t queue_length)
@@ -264,6 +272,9 @@
 
 void service_queues::retry_service(const service_name& service, service_queue& queue)
 {
+    for (const queue_ticket ticket : std::exchange(queue.displaced, {})) {
+        refuse(service, ticket, "displaced", queue.order.time_to_empty(places_per_second(queue)));
+    }
     std::vector<std::uint64_t> full_needs;
     while (const auto ticket = queue.order.next(full_needs, loop_.time().now())) {
         const auto& waiting = queue.order.waiting();
--- a/unittests/gateway/waiting_test.cpp
+++ b/unittests/gateway/waiting_test.cpp
@@ -142,6 +142,19 @@
             CHECK(ended.front().ends_with("refused"));
         }
     }
+    WHEN("the queue is full and a more urgent request comes")
+    {
+        for (std::size_t i = 2; i < waiting_queue_settings{}.max_waiting; ++i) {
+            enter("more", 1);
+        }
+        enter("most urgent", 0);
+        THEN("one of the others is refused, after the caller has returned")
+        {
+            CHECK(ended.empty());
+            loop.run_pending();
+            CHECK(ended == std::vector<std::string>{"more refused"});
+        }
+    }
     WHEN("the VM stops")
     {
         queues.stop();
--- a/unittests/routing/waiting_queue_test.cpp
+++ b/unittests/routing/waiting_queue_test.cpp
@@ -29,6 +29,7 @@
     int in_goal{0};
     int started{0};
     int refused{0};
+    int refused_at_once{0};
     duration longest_wait_of_refused{0};
     duration longest_wait_of_started{0};
 };
@@ -125,6 +126,7 @@
         const known_request& request = requests_.at(ticket);
         tally& of = tallies[request.what.kind];
         ++of.refused;
+        of.refused_at_once += time_.now() == request.arrived_at ? 1 : 0;
         of.longest_wait_of_refused = std::max(of.longest_wait_of_refused, time_.now() - request.arrived_at);
         if (request.what.comes_back_at_once) {
             returning_.push_back(request.what);
@@ -192,6 +194,7 @@
     const tally& usual_tally = load.tallies["usual"];
     CHECK(usual_tally.in_goal == usual_tally.started);
     CHECK(usual_tally.refused > 0);
+    CHECK(usual_tally.refused_at_once == usual_tally.refused);
     // 45/s are possible for 10 s, and 50/s were for 2 s.
     CHECK(usual_tally.started >= 540);
     CHECK(usual_tally.longest_wait_of_refused <= 100ms);
@@ -313,6 +316,33 @@
     CHECK(load.tallies["short"].started >= 200);
 }
 
+SCENARIO("within a priority, the request that would first become late is sent first")
+{
+    manual_clock time;
+    waiting_queue queue;
+    std::uint64_t last = 0;
+    const auto admit = [&](duration left, duration run) {
+        queued_request request;
+        request.ticket = queue_ticket{++last};
+        request.account = last;
+        request.arrived_at = time.now();
+        request.goal = left;
+        request.goal_at = request.deadline = time.now() + left;
+        request.run_time = request.first_byte_time = run;
+        queue.admit(request, 100, time.now());
+    };
+    admit(3s, 100ms);
+    admit(2s, 100ms);
+    admit(3s, 2s);
+    std::vector<std::uint64_t> order;
+    while (const auto ticket = queue.next({}, time.now())) {
+        order.push_back(ticket->value());
+        queue.remove(*ticket);
+    }
+    // The third has the least time left once its work is subtracted.
+    CHECK(order == std::vector<std::uint64_t>{3, 2, 1});
+}
+
 SCENARIO("a full queue refuses the least urgent request")
 {
     manual_clock time;
