Test that a request refused by all servers with proof waits and is sent again

Two servers refuse the first three sends with proof; the request waits, and the fourth send is answered 200. Without the queue the third send never happens and the client gets 503.

--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -52,6 +52,13 @@
     }
 
 
+def with_priorities(read):
+    """Gives the routes of a configuration priorities, so that requests wait for room, and more time."""
+    for route in read["routes"]:
+        route.update(goal_ms=6000, timeout_ms=20000, priority=0 if route["name"] == "unsafe" else 1)
+    return read
+
+
 class GatewayCase(unittest.TestCase):
     """Starts a store, two servers for each service, and one entry VM."""
 
@@ -1017,11 +1024,7 @@
     busy_ms = 300
 
     def configuration(self):
-        read = service_map(1)
-        for route in read["routes"]:
-            route.update(goal_ms=6000, timeout_ms=20000)
-            route["priority"] = 0 if route["name"] == "unsafe" else 1
-        return read
+        return with_priorities(service_map(1))
 
     def setUp(self):
         super().setUp()
@@ -1114,6 +1117,25 @@
             task.wait()
 
 
+class WithBrieflyRefusingServers(ScriptedServersCase):
+    def configuration(self):
+        return with_priorities(service_map(1))
+
+    # Guards against a refusal to the client when each server has refused once, with proof, and soon has room again.
+    def test_a_request_that_all_servers_refused_with_proof_waits_and_is_sent_again(self):
+        calls = itertools.count()
+
+        def script(headers):
+            if next(calls) < 3:
+                return self.head(headers, "503 Busy", "X-Not-Executed: 1\r\nContent-Length: 0\r\n")
+            return self.head(headers, framing="Content-Length: 2\r\n") + b"ok"
+
+        self.use_script(script)
+        identity, status, _, text = self.fetch("unsafe")
+        self.assertEqual((status, text), (200, "ok"))
+        self.assertEqual(sum(server.runs.count(identity) for server in self.scripted), 4)
+
+
 class WithRelayedStoreReads(GatewayCase):
     def setUp(self):
         super().setUp()
