--- a/lib/gateway/transparent_request_send.cpp
+++ b/lib/gateway/transparent_request_send.cpp
@@ -306,8 +306,10 @@
         constexpr std::chrono::milliseconds refusal_avoid_duration{100};
         server_->avoid_until = owner_.loop_.time().now() + refusal_avoid_duration;
         // The attempt itself is part of the estimate.
-        const std::uint32_t load = estimated_load(*server_, load_report_lifetime(owner_.run_times_[service_], owner_.loop_.time().now()),
-                           owner_.loop_.time().now()) - 1;
+        const std::uint32_t load =
+            estimated_load(*server_, load_report_lifetime(owner_.run_times_[service_], owner_.loop_.time().now()),
+                           owner_.loop_.time().now()) -
+            1;
         owner_.queues_.note_refusal(server_->record.name,
                                     queue_length_at_refusal(metadata.load, load, server_->record.slots));
     }
--- a/lib/gateway/transparent_request_wait.cpp
+++ b/lib/gateway/transparent_request_wait.cpp
@@ -119,7 +119,8 @@
     std::vector<queueing_option> options;
     options.reserve(servers.size());
     for (const auto& server : servers) {
-        options.push_back({estimated_load(*server, report_lifetime, now), server->record.slots, server->reported_at != steady_time{},
+        options.push_back({estimated_load(*server, report_lifetime, now), server->record.slots,
+                           server->reported_at != steady_time{},
                            server->avoid_until > now || is_zone_avoided(server->record.zone),
                            owner_.queues_.refusal_of(server->record.name)});
     }
--- a/unittests/gateway/waiting_test.cpp
+++ b/unittests/gateway/waiting_test.cpp
@@ -63,7 +63,7 @@
     }
     THEN("a refusal with proof limits its queue for some seconds")
     {
-        const std::uint32_t length = queue_length_at_refusal(reported_load{8, 1, 8}, 20, 8);
+        const std::uint32_t length = queue_length_at_refusal(reported_load{8, 1, 8, {}}, 20, 8);
         CHECK(length == 1);
         CHECK(queue_length_at_refusal(std::nullopt, 8, 8) == 0);
         idle_queue.refused = refused_queue_length{length, now - 1s};
