--- a/lib/frontend/http_server.cpp
+++ b/lib/frontend/http_server.cpp
@@ -6,6 +6,7 @@
 #include <agatespar/frontend/http_server.h>
 #include <agatespar/http/connection_limit.h>
 #include <agatespar/kernel/event_loop.h>
+#include <agatespar/telemetry/log.h>
 
 #include <libsoup/soup.h>
 
@@ -17,6 +18,8 @@
 
 // A refused caller may try again after this time: bodies and answers of ordinary callers are held for less.
 static constexpr std::chrono::seconds retry_delay{1};
+// Minimum time between two log lines about the limits that all callers share.
+static constexpr std::chrono::seconds limit_log_interval{10};
 
 namespace {
 
@@ -55,6 +58,7 @@
     std::unordered_map<SoupServerMessage*, incoming_request> incoming;
     std::shared_ptr<held_bytes> held;
     std::size_t closed_connections{0};
+    std::optional<steady_time> limit_logged_at;
 
     impl(event_loop& event_loop, http_server_settings initial, exchange_handler on_request)
         : loop(event_loop), settings(std::move(initial)), handler(std::move(on_request)),
@@ -66,6 +70,7 @@
     outcome<void> load_certificate();
     void start_request(SoupServerMessage* message);
     bool make_room(SoupServerMessage* message);
+    void log_limit_reached();
     void close_connection(SoupServerMessage* message);
     void check_room(SoupServerMessage* message, std::size_t body_bytes);
     bool hold_body(SoupServerMessage* message, incoming_request& request, std::size_t needed);
@@ -195,6 +200,7 @@
     if (!make_room(message)) {
         ++counters.over_connection_limit;
         close_connection(message);
+        log_limit_reached();
     }
 }
 
@@ -218,10 +224,25 @@
         }
         ++counters.evicted_connections;
         close_connection(messages[*chosen]);
+        log_limit_reached();
     }
     return true;
 }
 
+void http_server::impl::log_limit_reached()
+{
+    const steady_time now = loop.time().now();
+    if (limit_logged_at && now - *limit_logged_at < limit_log_interval) {
+        return;
+    }
+    limit_logged_at = now;
+    log_event(log_severity::warning, "client_limit_reached",
+              {{"held_bytes", std::uint64_t{held->held}},
+               {"refused_requests", counters.without_room},
+               {"refused_connections", counters.over_connection_limit},
+               {"evicted_connections", counters.evicted_connections}});
+}
+
 /// libsoup notices the end of the connection in the next iteration of the loop.
 void http_server::impl::close_connection(SoupServerMessage* message)
 {
@@ -364,6 +385,7 @@
 {
     incoming_request& request = incoming.at(message);
     ++counters.without_room;
+    log_limit_reached();
     request.without_room = true;
     request.body.clear();
     request.body.shrink_to_fit();
