--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -27,6 +27,7 @@
     const steady_time now = owner_.loop_.time().now();
     note_answer(*server_, metadata, now);
     if (metadata.load) {
+        owner_.servers_report_speed_ = owner_.servers_report_speed_ || metadata.load->slowness_percent;
         owner_.queues_.on_room(service_);
     }
     if (metadata.unreadable_load) {
