Send what a closing connection has queued for as long as the client takes it

Cause: a connection that closes after its answer was closed one second after the answer had been queued, whatever was unsent, also during a planned stop with seconds of its grace left. A slow client lost the rest of a large answer.

Change: each second it is checked whether the client has acknowledged further bytes, of the queue or of those that the operating system holds. The connection is closed when all were taken, or when none was for three seconds, which does not depend on the answer's size. A planned stop counts such connections until its grace ends, as before.

--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -77,8 +77,9 @@
     void close();
     /// Closes at once in a way that the peer can't mistake for an orderly end.
     void reset();
-    /// Sends the unsent bytes, then closes the connection so that the peer can read all of them: received bytes are
-    /// read and dropped for a while, as closing with unread bytes would reset the connection.
+    /// Sends the unsent bytes for as long as the peer takes them, then closes the connection so that the peer can read
+    /// all of them: received bytes are read and dropped for a while, as closing with unread bytes would reset the
+    /// connection. A peer that takes nothing for three seconds loses the rest.
     void close_when_sent();
     bool is_open() const { return descriptor_ >= 0; }
 
@@ -90,6 +91,8 @@
     /// Sends bytes from some buffers. @return the number of bytes that the operating system has taken.
     std::size_t send_now(const output_parts& parts);
     void after_sending(bool was_waiting);
+    std::size_t untaken_bytes() const;
+    void schedule_linger_check(std::size_t untaken_before, int stalled);
     void end(stream_end how);
     void update_watch();
 
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -3,8 +3,10 @@
 #include <agatespar/telemetry/log.h>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -20,11 +22,14 @@
 
 // Maximum bytes of one read, so that one connection does not delay the others.
 static constexpr std::size_t max_read_bytes = 16 * 1024;
-// How long a closing connection waits for the peer to read the rest: a few round trips between regions.
+// How long a closing connection whose bytes were all acknowledged waits for the peer's end: a few round trips between
+// regions. Also the interval at which it is checked whether the peer still takes bytes.
 static constexpr std::chrono::milliseconds linger_timeout{1000};
 // A connection with unacknowledged bytes is aborted after this time, since a VM that lost power never resets it. The
 // failure of a peer is to be detected within this time.
 static constexpr unsigned unacknowledged_timeout_ms = 3000;
+// A closing connection whose peer has taken no byte in this many linger_timeout is closed: the same time.
+static constexpr int max_stalled_lingers = 3;
 // Idle connections are probed, so that the failure of a peer is detected within the same time.
 static constexpr int keepalive_interval_s = 1;
 static constexpr int keepalive_probes = 2;
@@ -361,17 +366,39 @@
     }
     lingering_ = true;
     callbacks_ = std::make_shared<tcp_callbacks>();
-    // The timer keeps the stream alive after its owner has dropped it.
-    linger_timer_ = loop_.schedule(linger_timeout, [self = shared_from_this()] {
-        self->linger_timer_.reset();
-        self->close();
-    });
+    schedule_linger_check(untaken_bytes(), 0);
     update_watch();
     if (output_.empty()) {
         after_sending(false);
     }
 }
 
+/// @return the number of bytes that the peer has not acknowledged, including those that the operating system holds.
+std::size_t tcp_stream::untaken_bytes() const
+{
+    int held = 0;
+    const bool known = ioctl(descriptor_, SIOCOUTQ, &held) == 0 && held > 0;
+    return unsent() + (known ? static_cast<std::size_t>(held) : 0);
+}
+
+/// Closes the connection after the next interval if the peer has taken nothing for too long by then, or if it has taken
+/// everything and had the interval to read the last bytes.
+void tcp_stream::schedule_linger_check(std::size_t untaken_before, int stalled)
+{
+    // The timer keeps the stream alive after its owner has dropped it.
+    linger_timer_ = loop_.schedule(
+        linger_timeout, [self = shared_from_this(), untaken_before, stalled, was_handed_over = output_.empty()] {
+            self->linger_timer_.reset();
+            const std::size_t untaken = self->untaken_bytes();
+            const int now_stalled = untaken < untaken_before ? 0 : stalled + 1;
+            if ((untaken == 0 && was_handed_over) || now_stalled >= max_stalled_lingers) {
+                self->close();
+                return;
+            }
+            self->schedule_linger_check(untaken, now_stalled);
+        });
+}
+
 outcome<std::unique_ptr<tcp_listener>> tcp_listener::open(event_loop& loop, const std::string& address,
                                                           accept_callback on_accept)
 {
--- a/unittests/http/server_test.cpp
+++ b/unittests/http/server_test.cpp
@@ -222,6 +222,45 @@
     run_until(test.loop, [&test] { return test.listener->lingering() == 0; });
 }
 
+// Guards against answers that are cut off one second after they were queued, while the client still takes their bytes.
+SCENARIO("an answer is sent completely before its connection closes, for as long as the client takes it")
+{
+    server_fixture test;
+    const blocking_client client{test.listener->address()};
+    constexpr int receive_buffer = 64 * 1024;
+    REQUIRE(setsockopt(client.descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer) == 0);
+    client.send_text("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    test.wait_for_requests(1);
+    // More than the operating system holds, and than a client that takes 32 KB in 10 ms receives in a second.
+    const std::string body(12U << 20U, 'x');
+    test.exchanges[0]->answer(local_answer_head(200), body);
+    std::size_t received = 0;
+    WHEN("the client reads slowly, it gets all of it")
+    {
+        while (test.listener->lingering() > 0) {
+            std::size_t taken = 0;
+            for (std::string text = client.receive_text(); !text.empty(); text = client.receive_text()) {
+                taken += text.size();
+                if (taken >= 32U * 1024) {
+                    break;
+                }
+            }
+            received += taken;
+            bool waited = false;
+            test.loop.schedule(10ms, [&waited] { waited = true; });
+            run_until(test.loop, [&waited] { return waited; });
+        }
+        for (std::string text = client.receive_text(); !text.empty(); text = client.receive_text()) {
+            received += text.size();
+        }
+        CHECK(received > body.size());
+    }
+    WHEN("the client takes nothing, its connection is closed")
+    {
+        run_until(test.loop, [&test] { return test.listener->lingering() == 0; });
+    }
+}
+
 SCENARIO("a stopping listener answers the requests that the operating system had received before the stop")
 {
     // Guards against requests that are lost in a planned stop under load, when clients connect and send at the moment
