Let no request wait behind one that may not be sent yet

A request that all servers refused with proof is not sent for 0.1 s. New requests with the same needs went into the queue behind it although a server had room, and were tried only by the next timer. Only requests that may be sent now make others wait their turn.

--- a/include/agatespar/gateway/service_queues.h
+++ b/include/agatespar/gateway/service_queues.h
@@ -63,8 +63,8 @@
     /// Removes a request that has been sent, has ended or was abandoned.
     /// @return how long it has waited.
     duration leave(const service_name& service, queue_ticket ticket, const char* outcome);
-    /// @param need see queued_request. @return whether a request of the service with the same needs waits, so that a
-    /// new one must not be sent before it.
+    /// @param need see queued_request. @return whether a request of the service with the same needs waits and may be
+    /// sent now, so that a new one must not be sent before it.
     bool has_waiting(const service_name& service, std::uint64_t need) const;
 
     void on_attempt_started(const service_name& service, int priority, std::uint64_t account);
--- a/lib/gateway/service_queues.cpp
+++ b/lib/gateway/service_queues.cpp
@@ -92,8 +92,9 @@
         return false;
     }
     const auto& waiting = known->second.order.waiting();
-    return std::any_of(waiting.begin(), waiting.end(),
-                       [need](const queued_request& request) { return request.need == need; });
+    return std::any_of(waiting.begin(), waiting.end(), [need, now = loop_.time().now()](const queued_request& request) {
+        return request.need == need && request.not_before <= now;
+    });
 }
 
 std::optional<queue_ticket> service_queues::enter(const service_name& service, queued_request request,
--- a/unittests/gateway/waiting_test.cpp
+++ b/unittests/gateway/waiting_test.cpp
@@ -82,8 +82,9 @@
     const service_name service{"s"};
     int room = 0;
     std::vector<std::string> ended;
-    const auto enter = [&](const std::string& name, int priority) {
+    const auto enter = [&](const std::string& name, int priority, duration delay = 0ms) {
         queued_request request;
+        request.not_before = loop.time().now() + delay;
         request.priority = priority;
         request.arrived_at = loop.time().now();
         request.goal = 2s;
@@ -133,6 +134,21 @@
             CHECK_FALSE(queues.has_waiting(service, 0));
         }
     }
+    WHEN("a request waits that all servers have just refused")
+    {
+        room = 2;
+        loop.advance(30ms);
+        enter("refused by all servers", 0, 100ms);
+        room = 1;
+        loop.advance(50ms);
+        THEN("others need not wait for it, and it is sent some time later")
+        {
+            CHECK_FALSE(queues.has_waiting(service, 0));
+            CHECK(ended.size() == 2);
+            loop.advance(100ms);
+            CHECK(ended.back() == "refused by all servers sent");
+        }
+    }
     WHEN("no room appears, and no rate is known")
     {
         loop.advance(300ms);
