Move the listener for TCP connections into files of its own

The crowd test takes its ids from the counter that gateway_test shares between threads; its crowds and bounds are unchanged.

--- a/include/agatespar/http/server.h
+++ b/include/agatespar/http/server.h
@@ -4,7 +4,7 @@
 
 #include <agatespar/http/connection_limit.h>
 #include <agatespar/http/message_reader.h>
-#include <agatespar/http/tcp_stream.h>
+#include <agatespar/http/tcp_listener.h>
 #include <agatespar/kernel/event_loop.h>
 #include <agatespar/support/memory_budget.h>
 
--- a/test/crowd_test.py
+++ b/test/crowd_test.py
@@ -86,9 +86,8 @@
         return connection
 
     def request_head(self, kind, *fields):
-        self.sent += 1
         method = "GET" if kind == "safe" else "POST"
-        lines = [f"{method} /{kind}/a HTTP/1.1", "Host: one.example", f"X-Attempt-Id: crowd-{self.sent}",
+        lines = [f"{method} /{kind}/a HTTP/1.1", "Host: one.example", f"X-Attempt-Id: crowd-{next(self.sent)}",
                  "X-Deadline-Ms: 20000", "Authorization: Bearer " + KEY, *fields]
         if kind == "stream":
             lines += ["X-Model: *", "X-Token-Count: 900,60", "X-Prompt-Prefix: aa:500,bb:300,cc:100"]
--- a/unittests/http/loopback.h
+++ b/unittests/http/loopback.h
@@ -1,7 +1,7 @@
 // Peers that send and receive raw bytes over loopback, for tests of the HTTP client and server.
 #pragma once
 
-#include <agatespar/http/tcp_stream.h>
+#include <agatespar/http/tcp_listener.h>
 #include <agatespar/kernel/glib_event_loop.h>
 
 #include <arpa/inet.h>
