Ask for the larger model at the server that has the prompt's parts

Cause: since the larger model goes to another server than the smaller one, the parts of a prompt are read there again.

Change: only servers that failed the request with the smaller model are left out, if there are others. A silent server is left by the bound on the time left.

--- a/lib/gateway/transparent_request.h
+++ b/lib/gateway/transparent_request.h
@@ -212,8 +212,8 @@
     std::set<zone_name> silent_zones_;
     /// At the last choice of a server, the zones of all eligible ones were unreachable.
     bool no_server_reachable_{false};
-    /// The servers that were tried with a smaller model, in order: the last one answered, the others failed.
-    std::vector<server_name> tried_smaller_model_;
+    /// The servers that failed with a smaller model. They are asked again only if there is no other.
+    std::vector<server_name> failed_before_;
     std::optional<crash_suspects> suspects_;
     /// Servers that crashed before they had begun to answer the request.
     int crashes_{0};
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -83,7 +83,9 @@
         if (try_retry(retry_reason::larger_model, "a larger model answers")) {
             model_ = route_->model_tiers.back();
             model_tier_ = route_->model_tiers.size() - 1;
-            tried_smaller_model_ = std::exchange(tried_, {});
+            // The last one has answered and may run the larger model too, which keeps the parts of prompts together.
+            tried_.pop_back();
+            failed_before_ = std::exchange(tried_, {});
             return;
         }
     }
@@ -123,19 +125,12 @@
 
 std::shared_ptr<fleet_server> transparent_request::pick_server()
 {
-    if (tried_smaller_model_.empty()) {
+    if (failed_before_.empty()) {
         return pick_server_except(tried_);
     }
-    // The larger model is asked at another server: the one that failed may be faulty, and the one that answered may
-    // hold back the new request of an answer that was cut off. If no other server is usable, they may run it too: first
-    // the one that answered.
     std::vector<server_name> excluded = tried_;
-    excluded.insert(excluded.end(), tried_smaller_model_.begin(), tried_smaller_model_.end());
+    excluded.insert(excluded.end(), failed_before_.begin(), failed_before_.end());
     auto server = pick_server_except(excluded);
-    if (!server) {
-        excluded.pop_back();
-        server = pick_server_except(excluded);
-    }
     return server ? server : pick_server_except(tried_);
 }
 
