--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -231,6 +231,27 @@
         self.assertIn('agatespar_store_reachable{topic="orders"} 1', text)
 
 
+class WithNoReachableServer(GatewayCase):
+    # Guards against clients that stay with a VM that can reach no server, and wait for time-outs there.
+    def test_a_vm_that_reaches_no_server_is_not_ready_and_refuses_at_once_until_one_answers(self):
+        processes = [self.fleet.processes[name] for name in self.servers]
+        for process in processes:
+            process.pause()
+        # Several at the same time, so that different servers are found to be silent.
+        waiting = [BackgroundTask(lambda: self.fetch("safe", headers={"X-Deadline-Ms": "2000"})) for _ in range(8)]
+        wait_until(lambda: self.http_get(self.entry["readiness"], "/v1/readyz").status == 503, "the VM to be unready")
+        identity, status, headers, text = self.fetch("unsafe")
+        self.assertEqual((status, text), (503, "no server can be reached\n"))
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        for task in waiting:
+            task.wait()
+        for process in processes:
+            process.resume()
+        wait_until(lambda: self.http_get(self.entry["readiness"], "/v1/readyz").status == 200, "the VM to be ready")
+        wait_until(lambda: self.fetch("safe")[1] == 200, "a request to be answered")
+        self.assertEqual(self.count_runs(identity), 0)
+
+
 class WithFailingServers(GatewayCase):
     def test_an_unsafe_request_whose_answer_is_lost_runs_once_and_is_not_reported_as_refused(self):
         self.set_service_faults("calls", loses_answers=True)
