--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -144,13 +145,24 @@
                 except asyncio.TimeoutError:
                     pass
             answer = struct.pack(">QQ", len(log), 0)
+            limit = int(query.get("max_kb", "1024")) * 1024
             for record in log[start:]:
+                if len(answer) > 16 and len(answer) + 4 + len(record) > limit:
+                    break
                 answer += struct.pack(">I", len(record)) + record
             return 200, "application/octet-stream", answer
         if path == "/v1/log-newest":
-            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-                     for key, (value, offset) in self.newest(query["topic"]).items()]
-            page = {"items": items, "more_pages": False, "end": len(log)}
+            items, size, more = [], 0, False
+            for key, (value, offset) in self.newest(query["topic"]).items():
+                if key <= urllib.parse.unquote(query.get("after", "")):
+                    continue
+                item = {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                size += len(item["value"])
+                more = len(items) == 500 or (size > 1_000_000 and bool(items))
+                if more:
+                    break
+                items.append(item)
+            page = {"items": items, "more_pages": more, "end": len(log)}
             return 200, "application/json", json.dumps(page).encode()
         return 404, "text/plain", b""
 
