--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -22,6 +22,9 @@
 KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 HOST = "ficu95.example"
+# Limits of the store, as in the settings.
+RECORD_BYTES = 262_144
+CALL_BYTES = 2_097_152
 
 
 def now():
@@ -130,11 +133,14 @@
         if path == "/v1/log-append":
             if "at" in query and int(query["at"]) != len(log):
                 return 412, "application/json", json.dumps({"end": len(log)}).encode()
-            offset, position = len(log), 0
+            offset, position, records = len(log), 0, []
             while position < len(body):
                 size = struct.unpack_from(">I", body, position)[0]
-                log.append(body[position + 4:position + 4 + size])
+                records.append(body[position + 4:position + 4 + size])
                 position += 4 + size
+            if any(len(each) > RECORD_BYTES for each in records) or len(body) > CALL_BYTES:
+                return 413, "text/plain", b""
+            log.extend(records)
             self.wake()
             return 200, "application/json", json.dumps({"offset": offset, "end": len(log)}).encode()
         if path == "/v1/log-read":
@@ -183,8 +189,8 @@
         self.runs = []
         self.work = None
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, 0, backlog=256)
+    async def start(self, port=0):
+        self.server = await asyncio.start_server(self.serve, self.ip, port, backlog=256, limit=1 << 20)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         self.heartbeat = asyncio.ensure_future(self.beat())
 
@@ -307,7 +313,7 @@
                        "evac_ms": 5000, "recover_s": 12, "pass_ms": 120, "reuse_window_s": 10, "session_s": 5},
             "platform": {"address": self.store.address, "form": "log", "writes_per_s": 400, "reads_per_s": 2000,
                          "parts": 8, "append_ms": 4.0, "part_mb_per_s": 20.0, "read_mb_per_s": 80.0,
-                         "record_bytes": 262144, "call_bytes": 2097152, "keep_s": 300, "part_mb": 200,
+                         "record_bytes": RECORD_BYTES, "call_bytes": CALL_BYTES, "keep_s": 300, "part_mb": 200,
                          "ttl_min_ms": 1000}}
         with open(os.path.join(ROOT, self.role["template"]), encoding="utf-8") as file:
             text = file.read().replace("{{.|json}}", json.dumps(fields))
