--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -378,6 +378,8 @@
 
 def play(main):
     """Runs `main(record, folder, vms)`, which returns how often the rule was broken, and exits as the users ask."""
+    # Whoever stops the script stops what it has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(os.path.dirname(os.path.abspath(sys.argv[0])))
     folder = tempfile.mkdtemp(prefix="agatespar-review-")
     vms = []
