Take an answer that ends during its request's upload for cut

What callers saw: a server that answered a long upload at once with a 200 without a length, sent a part of its body and ended the connection. The part was delivered as the complete answer, also of streams.

Cause: the orderly end of the connection delimits such a body, and the call ended there. A server in trouble may close its side before the reset, which follows when more of the upload arrives. A reset without that was noticed before.

Change: a stream tells whether it ended before its peer had taken all that was written, the bytes in the operating system's buffers included. An answer that is delimited by the end of the connection is complete only if the request had been taken completely. The end carries the acknowledgement of all that the server received, so servers that read their requests are not affected.

--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -68,6 +68,9 @@
     /// received it.
     bool has_sent() const { return has_sent_; }
     void reset_sent() { has_sent_ = false; }
+    /// @return whether the connection has ended before the peer had taken all that was written. Even if the peer closed
+    /// it in an orderly way, it can't have read that.
+    bool has_lost_output() const { return has_lost_output_; }
     /// Pauses or resumes reading. A reset of a paused connection is still detected.
     void pause_reading(bool paused);
     /// Reads at once, rather than from the loop, what the operating system has received, at most one buffer, and calls
@@ -103,6 +106,7 @@
     bool lingering_{false};
     bool has_sent_{false};
     bool broken_{false};
+    bool has_lost_output_{false};
     std::optional<timer_id> linger_timer_;
     steady_time last_sent_at_;
     output_queue output_;
--- a/lib/http/client.cpp
+++ b/lib/http/client.cpp
@@ -175,8 +175,10 @@
 
 void client_call::on_end(stream_end how)
 {
-    const bool may_end_body =
-        how == stream_end::closed && reader_ && reader_->is_head_done() && !skipping_ && head_.close_delimited;
+    // An end during the upload is no sign of a complete answer: a server that stops in the middle of its answer ends
+    // the connection in the same way, and resets it when more of the request arrives.
+    const bool is_orderly = how == stream_end::closed && !stream_->has_lost_output();
+    const bool may_end_body = is_orderly && reader_ && reader_->is_head_done() && !skipping_ && head_.close_delimited;
     if (may_end_body && reader_->feed_end()) {
         reusable_ = false;
         finish();
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -299,6 +299,7 @@
 {
     const auto callbacks = callbacks_;
     const bool notify = !lingering_;
+    has_lost_output_ = broken_ || untaken_bytes() > 0;
     close();
     if (notify && callbacks->ended) {
         callbacks->ended(broken_ ? stream_end::broken : how);
--- a/unittests/http/client_test.cpp
+++ b/unittests/http/client_test.cpp
@@ -241,3 +241,51 @@
     test.server.peers[0]->stream->pause_reading(false);
     run_until(test.loop, [&test] { return test.server.peers[0]->ended.has_value(); });
 }
+
+// Guards against a part of an answer that is taken for all of it.
+SCENARIO("an answer without a length is complete only if its server has taken the complete request")
+{
+    client_fixture test;
+    call_result result;
+    const std::string part = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\npart";
+    const auto answer_during_upload = [&] {
+        run_until(test.loop, [&test] { return test.server.peers.size() == 1; });
+        test.server.peers[0]->stream->pause_reading(true);
+        test.answer(0, part);
+        run_until(test.loop, [&result] { return result.body == "part"; });
+    };
+    const std::string body(std::size_t{16} << 20U, 'b');
+    test.request.head.method = "POST";
+
+    WHEN("the server resets the connection during the upload")
+    {
+        test.request.body = body;
+        const auto call = test.start(result);
+        answer_during_upload();
+        test.server.peers[0]->stream->reset();
+        run_until(test.loop, [&result] { return result.ended(); });
+        REQUIRE(result.failed);
+        CHECK(result.failed->state == send_state::sent);
+    }
+    WHEN("the server closes the connection during the upload")
+    {
+        test.request.body = body;
+        const auto call = test.start(result);
+        answer_during_upload();
+        test.server.peers[0]->stream->close_when_sent();
+        run_until(test.loop, [&result] { return result.ended(); });
+        REQUIRE(result.failed);
+        CHECK(result.failed->state == send_state::sent);
+    }
+    WHEN("the server closes the connection when it has received the request")
+    {
+        const auto call = test.start(result);
+        run_until(test.loop, [&test] { return test.server.peers.size() == 1; });
+        run_until(test.loop, [&test] { return test.server.peers[0]->received.ends_with("\r\n\r\n"); });
+        test.answer(0, part);
+        test.server.peers[0]->stream->close_when_sent();
+        run_until(test.loop, [&result] { return result.ended(); });
+        CHECK(result.done);
+        CHECK(result.body == "part");
+    }
+}
