Read the answers to the daemon's own calls strictly

What callers saw: calls through the product's own interface were answered 200 although the server's answer was none: names of fields with a blank or a control byte, lines without a colon, contradictory lengths, chunks of a wrong size, chunks cut by the end of the connection, an answer without a length that ended during the upload. The answers of the log, the VM list, ratings, the weight store, engines and health checks were read alike.

Cause: libsoup's client reads answers leniently and keeps no trace of what it skipped, so that checks of what it has read can't find most of them.

Change: the calls are made over GIO's connections, which resolve names and implement TLS as they did below libsoup, and their answers are read by the message_reader that reads those of transparent requests. A pool assigns connections within the same limits; requests with an idempotent method use idle connections and are sent again if the server closes one meanwhile, all others have connections of their own, as before. An answer that the end of the connection delimits is complete only if the request had been taken.

--- a/include/agatespar/http/tcp_stream.h
+++ b/include/agatespar/http/tcp_stream.h
@@ -36,6 +36,10 @@
 /// @return whether the text is an IPv4 address with a port that a connection can be opened to.
 bool is_connectable_address(const std::string& text);
 
+/// @param descriptor of a TCP connection. @return the number of bytes that were handed to the operating system and that
+/// the peer has not acknowledged; 0 if it is unknown.
+std::size_t unacknowledged_bytes(int descriptor);
+
 /// A connection that is open or being opened. Owned by shared pointer, so that callbacks may drop it.
 class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
 public:
--- a/include/agatespar/platform/http_client.h
+++ b/include/agatespar/platform/http_client.h
@@ -22,7 +22,8 @@
     std::chrono::milliseconds timeout{5000};
     /// For stream(): maximum time between two chunks of the body.
     std::chrono::milliseconds idle_timeout{5000};
-    /// Sends on a new connection and never resends, as required for a non-idempotent request.
+    /// Sends on a new connection and never resends, as required for a non-idempotent request. Requests whose method is
+    /// not idempotent (RFC 9110, section 9.2.2) are always sent so.
     bool fresh_connection{false};
 };
 
--- a/lib/http/tcp_stream.cpp
+++ b/lib/http/tcp_stream.cpp
@@ -41,6 +41,13 @@
     return address && address->sin_port != 0;
 }
 
+std::size_t unacknowledged_bytes(int descriptor)
+{
+    int held = 0;
+    const bool known = ioctl(descriptor, SIOCOUTQ, &held) == 0 && held > 0;
+    return known ? static_cast<std::size_t>(held) : 0;
+}
+
 static void set_options(int descriptor)
 {
     const int one = 1;
@@ -350,9 +357,7 @@
 /// @return the number of bytes that the peer has not acknowledged, including those that the operating system holds.
 std::size_t tcp_stream::untaken_bytes() const
 {
-    int held = 0;
-    const bool known = ioctl(descriptor_, SIOCOUTQ, &held) == 0 && held > 0;
-    return unsent() + (known ? static_cast<std::size_t>(held) : 0);
+    return unsent() + unacknowledged_bytes(descriptor_);
 }
 
 /// Closes the connection after the next interval if the peer has taken nothing for too long by then, or if it has taken
--- a/lib/node/node_services.h
+++ b/lib/node/node_services.h
@@ -15,7 +15,7 @@
 #include <agatespar/node/settings.h>
 #include <agatespar/node/usage_service.h>
 #include <agatespar/node/zone_service.h>
-#include <agatespar/platform/soup_http_client.h>
+#include <agatespar/platform/gio_http_client.h>
 #include <agatespar/request/account_limits.h>
 #include <agatespar/request/answer_quality.h>
 #include <agatespar/request/call_forwarding.h>
@@ -62,7 +62,7 @@
     std::unique_ptr<transport> peer_transport;
     message_router router;
     service_registry registry;
-    soup_http_client http;
+    gio_http_client http;
     log_service log;
     metrics_registry metrics;
     span_recorder spans;
--- a/test/broken_answers_test.py
+++ b/test/broken_answers_test.py
@@ -1,12 +1,15 @@
 """Broken answers of servers reach no client as complete ones."""
 
 import http.client
+import json
+import os
 import socket
 import struct
 import time
 import unittest
 
 from gateway_test import FaultyServer, GatewayCase
+from harness.fleet import Fleet, new_key
 from harness.processes import wait_until
 
 BODY = b"Content-Length: 4\r\n\r\nfull"
@@ -43,12 +46,20 @@
 # resets the connection too, as bytes are unread; "close sending" ends the answer in an orderly way before that.
 ENDS = ("reset", "reset later", "close", "close sending", "close sending later")
 PART = b"id: 1\ndata: small 1\n\n"
-# Larger than the buffers between the VM and a server.
+# Larger than the buffers of a server, and the largest that the own interface takes.
 UPLOAD = "a" * (3 << 20)
+OWN_UPLOAD = "a" * ((1 << 20) - 100)
 
 
 class BreakingServer(FaultyServer):
-    """Answers in the form, or ends the connection in the way, that the request names. Its identity is correct."""
+    """Answers in the form, or ends the connection in the way, that the request names. Its identity is correct.
+
+    The own interface passes no fields on: if a request names no form, `form` applies.
+    """
+
+    form = None
+    LOAD = json.dumps({"start": 7, "age_ms": 0, "running": 0, "queued": 0, "slots": 8, "warm": True, "leaving": False,
+                       "versions": []}).encode()
 
     def serve(self, connection):
         with connection, connection.makefile("rb", buffering=0) as reader:
@@ -57,14 +68,14 @@
             headers = http.client.parse_headers(reader)
             try:
                 if "X-Attempt-Id" not in headers:
-                    connection.sendall(OK + b"Content-Length: 2\r\n\r\n{}")
+                    connection.sendall(OK + b"Content-Length: %d\r\n\r\n" % len(self.LOAD) + self.LOAD)
                     return
                 self.answer(connection, reader, headers)
             except OSError:
                 return
 
     def answer(self, connection, reader, headers):
-        form, identity = headers["Test-Form"], headers["X-Attempt-Id"]
+        form, identity = headers.get("Test-Form", self.form), headers["X-Attempt-Id"]
         self.runs.append((identity, form))
         fields = f"X-Attempt-Id: {identity}\r\nX-Runner-Seal: s.1\r\nX-Confidence: 90\r\n".encode()
         if form in ENDS:
@@ -74,7 +85,7 @@
         left = int(headers.get("Content-Length", 0))
         while left > 0:
             left -= len(reader.read(left))
-        status_line, rest = FORMS[form]
+        status_line, rest = FORMS.get(form, (OK, BODY))
         connection.sendall(status_line + fields + rest)
 
     def end(self, connection, how):
@@ -130,5 +141,48 @@
                         self.check_no_answer(kind, form, body=UPLOAD)
 
 
+class WithTheOwnInterface(unittest.TestCase):
+    """The only server of a plain service breaks its answers."""
+
+    def setUp(self):
+        self.fleet = self.enterContext(Fleet(os.environ["TESTED_BUILD"]))
+        self.fleet.start_one_zone("vm-1")
+        self.server = BreakingServer()
+        self.addCleanup(self.server.listener.close)
+        self.fleet.vms = [vm for vm in self.fleet.vms if vm["kind"] != "plain"]
+        self.fleet.add_to_vm_list("kovacic", "centre", "broken-1", "plain", "http://" + self.server.address,
+                                  service="narudzbe")
+        self.server.form = "valid"
+        wait_until(self.is_only_server_known, "the server to be known")
+        wait_until(lambda: self.call("book").status == 200, "the server to answer")
+
+    def is_only_server_known(self):
+        return {server["name"] for server in self.fleet.status("vm-1")["servers"]} == {
+            "kovacic/engine-1", "kovacic/broken-1"}
+
+    def call(self, method, **body):
+        return self.fleet.service("vm-1", "narudzbe/" + method, body, idempotency_key=new_key())
+
+    def check_no_answer(self, form, **body):
+        self.server.form = form
+        for method in ("book", "look_up"):
+            with self.subTest(form=form, method=method):
+                before = len(self.server.runs)
+                answer = self.call(method, **body)
+                self.assertGreater(len(self.server.runs), before)
+                self.assertEqual(answer.status, 502, answer.body[:80])
+                self.assertEqual(answer.error()["ran"], "outcome_unknown")
+
+    # Guards against statuses, fields and bodies that are not the server's.
+    def test_a_broken_answer_is_a_failure(self):
+        for form in FORMS:
+            self.check_no_answer(form)
+
+    # Guards against a part of an answer that a client takes for all of it.
+    def test_an_answer_without_a_length_that_ends_during_the_upload_is_a_failure(self):
+        for form in ENDS:
+            self.check_no_answer(form, order=OWN_UPLOAD)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/agatespar-standin/tests/standin_test.cpp
+++ b/tools/agatespar-standin/tests/standin_test.cpp
@@ -2,10 +2,10 @@
 #include "platform/test_server.h"
 #include "role.h"
 
+#include <agatespar/platform/gio_http_client.h>
 #include <agatespar/platform/http_engine.h>
 #include <agatespar/platform/http_log.h>
 #include <agatespar/platform/http_plain_service.h>
-#include <agatespar/platform/soup_http_client.h>
 
 #include <catch2/catch.hpp>
 
@@ -19,7 +19,7 @@
 // A stand-in that runs on the event loop of the test, with an HTTP client for it.
 struct standin_fixture {
     glib_event_loop loop;
-    soup_http_client owner{loop};
+    gio_http_client owner{loop};
     http_client client{owner.client()};
     std::unique_ptr<role> service;
     http_server server{[this](const std::shared_ptr<exchange>& call) { service->handle(call); }};
--- a/tools/agatesparctl/main.cpp
+++ b/tools/agatesparctl/main.cpp
@@ -3,8 +3,8 @@
 #include "options.h"
 
 #include <agatespar/kernel/glib_event_loop.h>
+#include <agatespar/platform/gio_http_client.h>
 #include <agatespar/platform/http_log.h>
-#include <agatespar/platform/soup_http_client.h>
 
 #include <sodium.h>
 
@@ -60,7 +60,7 @@
         return static_cast<int>(exit_code::unreachable);
     }
     glib_event_loop loop;
-    soup_http_client http{loop};
+    gio_http_client http{loop};
     tool_context context{loop, http.client(), {}, *start.options};
     if (!start.options->log_url.empty()) {
         context.log = make_http_log(context.http, start.options->log_url);
--- a/unittests/platform/http_engine_test.cpp
+++ b/unittests/platform/http_engine_test.cpp
@@ -1,8 +1,8 @@
 // Tests of the engine client: complete answers, and invalid answers that must not be accepted as complete.
 #include "test_server.h"
 
+#include <agatespar/platform/gio_http_client.h>
 #include <agatespar/platform/http_engine.h>
-#include <agatespar/platform/soup_http_client.h>
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -155,7 +155,7 @@
 SCENARIO("a request is sent to an engine with all of its fields")
 {
     glib_event_loop loop;
-    soup_http_client owner{loop};
+    gio_http_client owner{loop};
     const engine_client engine = make_http_engine(owner.client());
     answering_server server{[](const received_request&) {
         return planned_answer{200, {}, first_event + second_event + end_event, "text/event-stream"};
@@ -213,7 +213,7 @@
 SCENARIO("an engine's load is polled and orders are sent to it")
 {
     glib_event_loop loop;
-    soup_http_client owner{loop};
+    gio_http_client owner{loop};
     const engine_client engine = make_http_engine(owner.client());
     planned_answer answer;
     answering_server server{[&](const received_request&) { return answer; }};
--- a/unittests/platform/http_services_test.cpp
+++ b/unittests/platform/http_services_test.cpp
@@ -1,12 +1,13 @@
 // Tests of the HTTP clients of the log, plain services, the VM list, the rating service and the weight store.
 #include "test_server.h"
 
+#include <agatespar/platform/gio_http_client.h>
+#include <agatespar/platform/http_engine.h>
 #include <agatespar/platform/http_log.h>
 #include <agatespar/platform/http_plain_service.h>
 #include <agatespar/platform/http_rating_service.h>
 #include <agatespar/platform/http_vm_list.h>
 #include <agatespar/platform/http_weight_store.h>
-#include <agatespar/platform/soup_http_client.h>
 
 #include <catch2/catch.hpp>
 
@@ -19,7 +20,7 @@
 // A server that gives one planned answer, and a client to call it.
 struct http_fixture {
     glib_event_loop loop;
-    soup_http_client owner{loop};
+    gio_http_client owner{loop};
     http_client client{owner.client()};
     planned_answer answer;
     answering_server server{[this](const received_request&) { return answer; }};
@@ -253,3 +254,31 @@
         CHECK(!acquire());
     }
 }
+
+// Guards against broken answers that are taken for those of the platform and of servers.
+SCENARIO("a malformed or cut answer is no answer of the log, of the VM list or of a server's health check")
+{
+    const std::string head = GENERATE(as<std::string>{}, "HTTP/1.1 000 OK\r\n", "HTTP/1.1 200 OK\r\nX One: 1\r\n",
+                                      "HTTP/1.1 200 OK\r\nX-\x01One: 1\r\n", "HTTP/1.1 200 OK\r\nX-One\r\n",
+                                      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n");
+    CAPTURE(head);
+    http_fixture at;
+    const auto serve = [&head](const std::string& body) {
+        return std::make_unique<raw_server>(head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                                            raw_server::after_answer::close);
+    };
+
+    const auto log_server = serve(R"({"first_retained":1,"next":1,"records":[]})");
+    const log_service log = make_http_log(at.client, log_server->url());
+    CHECK(!wait_for<read_batch>([&](const auto& callback) {
+        log.read({stream_name{"a"}, log_offset{1}, 10, 0ms}, callback);
+    }));
+
+    const auto list_server = serve(R"({"vms":[]})");
+    const vm_list_service list = make_http_vm_list(at.client, list_server->url());
+    CHECK(!wait_for<std::vector<vm_entry>>([&](const auto& callback) { list.fetch(callback); }));
+
+    const auto engine_server = serve(R"({"start":7,"slots":8,"warm":true})");
+    const engine_client engine = make_http_engine(at.client);
+    CHECK(!wait_for<load_report>([&](const auto& callback) { engine.poll_load(engine_server->url(), callback); }));
+}
--- a/unittests/platform/test_server.h
+++ b/unittests/platform/test_server.h
@@ -6,6 +6,7 @@
 
 #include <gio/gio.h>
 #include <libsoup/soup.h>
+#include <sys/socket.h>
 
 #include <functional>
 #include <memory>
@@ -93,14 +94,17 @@
     SoupServer* server_;
 };
 
-/// Sends fixed bytes on each connection once the first bytes of the request have arrived, and closes the connection or
-/// leaves it open.
+/// Sends fixed bytes on each connection once the first bytes of a request have arrived, over TLS if it has a
+/// certificate.
 class raw_server {
 public:
-    enum class after_answer { close, hang };
+    /// What happens to the connection then: it is closed or reset, left open, serves more requests in the same way, or
+    /// is closed when the next request arrives. `cut` closes it without the end that TLS requires, `end_sending` only
+    /// the server's side of it.
+    enum class after_answer { close, cut, end_sending, reset, hang, serve, drop_next };
 
-    raw_server(std::string bytes, after_answer what)
-        : bytes_(std::move(bytes)), after_answer_(what), service_(g_socket_service_new())
+    raw_server(std::string bytes, after_answer what, GTlsCertificate* certificate = nullptr)
+        : bytes_(std::move(bytes)), after_answer_(what), certificate_(certificate), service_(g_socket_service_new())
     {
         port_ = g_socket_listener_add_any_inet_port(G_SOCKET_LISTENER(service_), nullptr, nullptr);
         g_signal_connect(service_, "incoming", G_CALLBACK(&raw_server::accept), this);
@@ -109,60 +113,107 @@
     raw_server& operator=(const raw_server&) = delete;
     ~raw_server()
     {
+        g_cancellable_cancel(cancellable_);
+        g_clear_object(&cancellable_);
         g_socket_service_stop(service_);
         g_socket_listener_close(G_SOCKET_LISTENER(service_));
-        for (GSocketConnection* connection : connections_) {
-            g_object_unref(connection);
+        for (const auto& open : connections_) {
+            g_clear_object(&open->stream);
+            g_clear_object(&open->socket);
         }
         g_object_unref(service_);
     }
 
-    std::string url() const { return "http://127.0.0.1:" + std::to_string(port_); }
+    std::string url() const
+    {
+        return (certificate_ == nullptr ? "http" : "https") + std::string{"://127.0.0.1:"} + std::to_string(port_);
+    }
 
     int connections{0};
     /// The first bytes of the last request.
     std::string received;
 
 private:
-    static gboolean accept(GSocketService* /*service*/, GSocketConnection* connection, GObject* /*source*/,
-                           gpointer data)
+    struct open_connection {
+        raw_server* server;
+        GSocketConnection* socket;
+        /// The socket's stream, or that of TLS over it.
+        GIOStream* stream;
+        int answers{0};
+    };
+
+    static gboolean accept(GSocketService* /*service*/, GSocketConnection* socket, GObject* /*source*/, gpointer data)
     {
         auto* self = static_cast<raw_server*>(data);
         ++self->connections;
-        self->connections_.push_back(static_cast<GSocketConnection*>(g_object_ref(connection)));
-        GInputStream* input = g_io_stream_get_input_stream(G_IO_STREAM(connection));
-        g_input_stream_read_bytes_async(input, 4096, G_PRIORITY_DEFAULT, nullptr, &raw_server::answer,
-                                        new answer_job{self, connection});
+        GIOStream* stream = G_IO_STREAM(g_object_ref(socket));
+        if (self->certificate_ != nullptr) {
+            g_clear_object(&stream);
+            stream = g_tls_server_connection_new(G_IO_STREAM(socket), self->certificate_, nullptr);
+        }
+        self->connections_.push_back(std::make_unique<open_connection>(
+            open_connection{self, static_cast<GSocketConnection*>(g_object_ref(socket)), stream}));
+        read_request(*self->connections_.back());
         return TRUE;
     }
-    struct answer_job {
-        raw_server* server;
-        GSocketConnection* connection;
-    };
+    static void read_request(open_connection& connection)
+    {
+        g_input_stream_read_bytes_async(g_io_stream_get_input_stream(connection.stream), 4096, G_PRIORITY_DEFAULT,
+                                        connection.server->cancellable_, &raw_server::answer, &connection);
+    }
     static void answer(GObject* source, GAsyncResult* result, gpointer data)
     {
-        const std::unique_ptr<answer_job> job{static_cast<answer_job*>(data)};
         GBytes* request = g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, nullptr);
         if (request == nullptr) {
+            // Also after the destructor.
             return;
         }
-        raw_server& self = *job->server;
+        auto& connection = *static_cast<open_connection*>(data);
+        raw_server& self = *connection.server;
         gsize size = 0;
         const auto* bytes = static_cast<const char*>(g_bytes_get_data(request, &size));
         self.received.assign(bytes, size);
         g_bytes_unref(request);
-        GOutputStream* output = g_io_stream_get_output_stream(G_IO_STREAM(job->connection));
-        g_output_stream_write_all(output, self.bytes_.data(), self.bytes_.size(), nullptr, nullptr, nullptr);
-        if (self.after_answer_ == after_answer::close) {
-            g_io_stream_close(G_IO_STREAM(job->connection), nullptr, nullptr);
+        if (size == 0) {
+            return;
+        }
+        if (self.after_answer_ != after_answer::drop_next || connection.answers == 0) {
+            GOutputStream* output = g_io_stream_get_output_stream(connection.stream);
+            g_output_stream_write_all(output, self.bytes_.data(), self.bytes_.size(), nullptr, nullptr, nullptr);
+        }
+        self.finish_answer(connection);
+    }
+    void finish_answer(open_connection& connection)
+    {
+        ++connection.answers;
+        const bool drops = after_answer_ == after_answer::drop_next;
+        if (after_answer_ == after_answer::serve || (drops && connection.answers == 1)) {
+            read_request(connection);
+            return;
+        }
+        if (after_answer_ == after_answer::reset) {
+            const linger at_once{1, 0};
+            setsockopt(g_socket_get_fd(g_socket_connection_get_socket(connection.socket)), SOL_SOCKET, SO_LINGER,
+                       &at_once, sizeof at_once);
+        }
+        if (after_answer_ == after_answer::cut || after_answer_ == after_answer::reset) {
+            g_socket_close(g_socket_connection_get_socket(connection.socket), nullptr);
+        }
+        else if (after_answer_ == after_answer::end_sending) {
+            g_socket_shutdown(g_socket_connection_get_socket(connection.socket), FALSE, TRUE, nullptr);
+        }
+        else if (after_answer_ != after_answer::hang) {
+            g_io_stream_close(connection.stream, nullptr, nullptr);
         }
     }
 
     std::string bytes_;
     after_answer after_answer_;
+    GTlsCertificate* certificate_;
     GSocketService* service_;
+    GCancellable* cancellable_{g_cancellable_new()};
     std::uint16_t port_{0};
-    std::vector<GSocketConnection*> connections_;
+    std::vector<std::unique_ptr<open_connection>> connections_;
 };
 
 /// Runs the default main context until a condition holds.
