--- a/lib/platform/http_call.cpp
+++ b/lib/platform/http_call.cpp
@@ -55,6 +55,7 @@
     }
     target_ = std::move(*target);
     message_ = write_request(request, target_);
+    is_head_request_ = request.method == "HEAD";
     // If the server closed an idle connection at this moment, it would be unknown whether the request ran.
     needs_new_connection_ = request.fresh_connection || !is_idempotent_method(request.method);
     idle_timeout_ = request.idle_timeout;
@@ -99,6 +100,9 @@
     reader_ = std::make_unique<answer_reader>(
         answer_limits, message_callbacks<http_answer_head>{[this](const http_answer_head& head) { take_head(head); },
                                                            [this](std::string_view bytes) { take_body(bytes); }});
+    if (is_head_request_) {
+        reader_->expect_no_body();
+    }
 }
 
 void http_call::take_head(const http_answer_head& head)
--- a/lib/platform/http_call.h
+++ b/lib/platform/http_call.h
@@ -21,10 +21,12 @@
     each_chunk,
 };
 
+class http_call;
+
 /// What a call needs from the pool of connections.
 struct connection_source {
     /// Has a connection assigned to the call by use(), now or later.
-    std::function<void(const std::shared_ptr<class http_call>& call)> request;
+    std::function<void(const std::shared_ptr<http_call>& call)> request;
     /// Takes back a connection that may serve another call.
     std::function<void(const http_origin& origin, const std::shared_ptr<gio_connection>& connection)> give_back;
 };
@@ -71,6 +73,7 @@
     timeout_rule rule_;
     http_target target_;
     std::string message_;
+    bool is_head_request_{false};
     bool needs_new_connection_{false};
     std::chrono::milliseconds idle_timeout_{0};
     std::optional<timer_id> timer_;
