--- a/lib/platform/http_connection_pool.cpp
+++ b/lib/platform/http_connection_pool.cpp
@@ -1,4 +1,4 @@
-// Assigns connections to calls in the order in which they ask, as far as the limits permit.
+// Assigns connections to calls within the limits.
 #include "http_connection_pool.h"
 
 #include <agatespar/telemetry/log.h>
--- a/lib/platform/http_connection_pool.h
+++ b/lib/platform/http_connection_pool.h
@@ -11,6 +11,8 @@
 
 namespace agatespar {
 
+/// Calls get connections in the order in which they ask, except that a call which the limits hold back does not hold
+/// back those to other servers.
 class http_connection_pool {
 public:
     http_connection_pool(event_loop& loop, const gio_http_settings& settings);
@@ -35,6 +37,7 @@
     bool close_oldest_idle(const http_origin* origin);
     void assign_connections();
     bool try_assign(const std::shared_ptr<http_call>& call);
+    /// @return whether one more connection may be opened, after closing an idle one if necessary.
     bool make_room(const http_origin& origin);
     std::shared_ptr<gio_connection> open(const http_origin& origin);
 
