--- a/unittests/entry/store_test.cpp
+++ b/unittests/entry/store_test.cpp
@@ -166,3 +166,25 @@
     CHECK(*result == append_result::unknown);
     CHECK(test.server.peers.size() == before + 1);
 }
+
+// Guards against broken answers that are taken for the store's.
+SCENARIO("a malformed or cut answer is no answer of the store")
+{
+    const std::string status = GENERATE(as<std::string>{}, "000 OK", "200 OK\r\nX One: 1", "200 OK\r\nX-\x01One: 1",
+                                        "200 OK\r\nX-One", "200 OK\r\nContent-Length: 9");
+    CAPTURE(status);
+    store_fixture test;
+    CHECK(!test.read(status, big_endian(840, 8) + big_endian(0, 8)));
+    CHECK(test.append(status) == append_result::unknown);
+
+    std::optional<outcome<log_range>> result;
+    const std::size_t before = test.server.peers.size();
+    test.store.read_from(fleet_topic::servers, 840, 0ms, [&result](outcome<log_range> read) { result = read; });
+    run_until(test.loop,
+              [&] { return test.server.peers.size() > before && !test.server.peers.back()->received.empty(); });
+    test.server.peers.back()->stream->write("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n" + big_endian(840, 8) +
+                                            big_endian(0, 8));
+    test.server.peers.back()->stream->close_when_sent();
+    run_until(test.loop, [&result] { return result.has_value(); });
+    CHECK(!*result);
+}
--- a/unittests/platform/http_engine_test.cpp
+++ b/unittests/platform/http_engine_test.cpp
@@ -152,6 +152,30 @@
     CHECK(record.ends.size() == 1);
 }
 
+// Guards against the events of an answer that is not the engine's.
+SCENARIO("no event is taken from a stream whose head or chunks are malformed")
+{
+    glib_event_loop loop;
+    gio_http_client owner{loop};
+    const engine_client engine = make_http_engine(owner.client());
+    const std::string events = start_event + first_event + second_event + end_event;
+    const std::string sized = "Content-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events;
+    const std::string bytes =
+        GENERATE_COPY("HTTP/1.1 000 OK\r\n" + sized, "HTTP/1.1 200 OK\r\nX One: 1\r\n" + sized,
+                      "HTTP/1.1 200 OK\r\nX-\x01One: 1\r\n" + sized, "HTTP/1.1 200 OK\r\nX-One\r\n" + sized,
+                      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n" + sized,
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n" + events);
+    CAPTURE(bytes);
+    raw_server server{bytes, raw_server::after_answer::close};
+    attempt_record record;
+    engine.start_completion(make_request(server.url()), record.callbacks());
+    run_until([&] { return record.outcomes() != 0; });
+    CHECK(record.text.empty());
+    CHECK(record.ends.empty());
+    REQUIRE(record.errors.size() == 1);
+    CHECK(record.errors[0].ran == run_state::outcome_unknown);
+}
+
 SCENARIO("a request is sent to an engine with all of its fields")
 {
     glib_event_loop loop;
