Write again what a restored store has lost

The writing side remained: what the system had written and the copy lacks, nobody wrote again. The operator never learned of the end of the first roll-out, a VM that started later rolled the reverted version out anew, and VMs that found no secret made a new one and could not talk to those that kept theirs.

Ruled out: that the VMs decide nothing as evidence is lost, and that a 412 is not read as a conflict: on four VMs sent a report 25 times in 7 s, each refused with a conflict.

Change: a roll-out that has ended is reported again by the VMs that know the end, spread and conditional as before, if the restored store lacks the report or has it for the order's position of an earlier era. Rows of evidence, the list of VMs and the shared secret are written again with the known values. It works as each of these is idempotent: the newest record of a key is what counts.

--- a/include/agatespar/gateway/fleet_state.h
+++ b/include/agatespar/gateway/fleet_state.h
@@ -47,6 +47,8 @@
     /// Called when the topic with the servers' entries has become unreadable, or readable again.
     void note_store_lost(steady_time now) { directory_.note_store_lost(now); }
     void note_store_back(steady_time now) { directory_.note_store_back(now); }
+    /// Called when the topic with the reports was found to be restored from an older copy.
+    void note_reports_restored(steady_time now);
     /// Removes the servers whose entries have been missing for too long.
     void tick(steady_time now);
 
--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -142,7 +142,8 @@
         settings_.self.cpu_share = cpu_share;
     }
     /// Queues a row of one of the system's own topics for writing, batched with rows of other VMs, and retries until it
-    /// appears in the store. A later row with the same key replaces it.
+    /// appears in the store. A later row with the same key replaces it. A row of evidence is written again if the store
+    /// was restored from a copy without it.
     void write_row(fleet_topic topic, const keyed_record& row);
     /// @return whether this VM is one of the readers, which read the store for all VMs.
     bool is_reader() const { return is_reader_; }
@@ -214,6 +215,7 @@
                 const char* what);
     void write_secret();
     bool is_row_writer() const;
+    void restore_own_rows();
     void process_pending_rows();
     void write_rows(const std::function<bool(const pending_row&)>& is_due);
     std::vector<row_to_write> rows_to_forward() const;
@@ -305,6 +307,8 @@
     std::map<std::string, exclusion> exclusions_;
     std::map<std::string, subscriber> subscribers_;
     std::map<row_key, pending_row> pending_rows_;
+    /// The last value of each row of evidence of this VM.
+    std::map<std::string, std::string> own_evidence_;
     std::array<packed_update, fleet_topic_count> snapshots_;
     std::array<packed_update, fleet_topic_count> changes_;
     steady_time started_;
--- a/include/agatespar/gateway/rollout_watch.h
+++ b/include/agatespar/gateway/rollout_watch.h
@@ -35,6 +35,9 @@
     /// its first half, so that usually a single VM reports: it takes some hundred milliseconds until hundreds of VMs
     /// know of a report. A reversion is reported by the readers without this delay, by other VMs in the second half.
     std::chrono::milliseconds report_spread{600};
+    /// Minimum time from a restoration of the store to the repetition of a report that it lacks: orders and reports
+    /// have been read again by then.
+    std::chrono::milliseconds repeated_report_delay{1000};
     /// How long after an order no request goes to the new version. In this time VMs exchange the sessions that are in
     /// progress: their evidence records pass up to a reader VM, which writes them to the store and reads those of
     /// others, and down again.
@@ -107,8 +110,11 @@
     /// Applies a report about this order from the store. Once the state is final, further reports are ignored, and so
     /// is a reversion under an earlier order of the same version.
     void apply_report(const rollout_report& report);
-    /// Called when the operator has written the order in progress again: later reports refer to the newest record.
+    /// Called when the operator has written the order again: later reports refer to the newest record.
     void set_order_position(const log_position& position) { order_.position = position; }
+    /// Called when the store was restored from an older copy, which may lack the report. If the roll-out has ended, it
+    /// is reported again unless the report is read.
+    void note_store_restored(steady_time now);
 
     /// Chooses the version of a request. A session keeps its version.
     /// @param draw uniform in [0, 1), for requests without a session.
@@ -134,7 +140,8 @@
     /// @param target_serves whether this VM knows a server of the new version that accepts requests. Without one the
     /// roll-out is not completed: the old servers would stop, and no server would be left.
     /// @param is_reader whether this VM is one of the few that read the store for all others; these report first.
-    /// @return the report that this VM should write now, if any.
+    /// @return the report that this VM should write now, if any: the first one, or the known one again if a restored
+    /// store lacks it.
     std::optional<rollout_report> next_report(steady_time now, bool target_serves, bool is_reader);
     /// @return the verdicts on failed and on slow answers, for logs.
     const guard_verdict& failure_verdict() const { return failures_.verdict(); }
@@ -149,6 +156,9 @@
 
     /// @return whether the answer is slow, or nothing if its times can't be compared.
     std::optional<bool> judge_time(const observed_answer& answer) const;
+    /// @return whether the report of the end may be missing in the store, or refers to the order's position of an
+    /// earlier era, by which a later order could not be told from this one.
+    bool is_report_missing() const;
     void update_usual_times(const observed_answer& answer);
     void update_verdict(steady_time now);
 
@@ -160,6 +170,10 @@
     /// Requests without a session that this VM has sent to the new version.
     std::uint64_t exposed_without_session_{0};
     rollout_state state_{rollout_state::in_progress};
+    /// The order's position according to the report that has been read, if the roll-out has ended.
+    std::optional<log_position> reported_position_;
+    /// When the store was last found to be restored from an older copy.
+    std::optional<steady_time> restored_at_;
     version_comparison failures_;
     version_comparison slowness_;
     /// When a bad answer of the new version was last observed here or reported by another VM.
--- a/lib/gateway/fleet_state.cpp
+++ b/lib/gateway/fleet_state.cpp
@@ -297,6 +297,13 @@
     }
 }
 
+void fleet_state::note_reports_restored(steady_time now)
+{
+    for (auto& [service, watch] : rollouts_) {
+        watch.note_store_restored(now);
+    }
+}
+
 rollout_watch* fleet_state::rollout_of(const service_name& service)
 {
     const auto found = rollouts_.find(service);
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -116,6 +116,9 @@
                           "Restorations of the store from an older copy, as seen in a topic.",
                           {{"topic", topic_label(topic)}})
             .add();
+        if (topic == fleet_topic::reports) {
+            fleet_.note_reports_restored(loop_.time().now());
+        }
     };
     if (settings.topic == fleet_topic::operator_orders) {
         // The configuration in force never goes back to an older version.
@@ -313,7 +316,7 @@
 
 void gateway::write_reports()
 {
-    if (writing_report_ || !reports_->is_complete()) {
+    if (writing_report_ || !reports_->is_complete() || !reports_->is_gap_free()) {
         return;
     }
     for (auto& [service, watch] : fleet_.rollouts()) {
--- a/lib/gateway/record_relay.cpp
+++ b/lib/gateway/record_relay.cpp
@@ -51,7 +51,8 @@
 void record_relay::apply_vm_record(const keyed_record& record)
 {
     if (record.key == shared_secret_key) {
-        secret_ = record.value;
+        // A store that was restored from an older copy may lack the secret. The VMs keep theirs, and write it again.
+        secret_ = record.value ? record.value : secret_;
         next_write_at_.reset();
         return;
     }
@@ -84,6 +85,7 @@
     ensure_listed();
     renew_own_row();
     delete_expired_rows();
+    restore_own_rows();
     process_pending_rows();
     remove_expired_subscribers();
     drop_unresponsive_upstreams();
@@ -108,7 +110,8 @@
 bool record_relay::is_listed() const
 {
     const auto listed = vms_.find(settings_.self.name);
-    if (listed == vms_.end()) {
+    const bool is_stored = follower(fleet_topic::vms).value_of(vm_record_key(settings_.self.name)) != nullptr;
+    if (listed == vms_.end() || !is_stored) {
         return false;
     }
     // The turn counter is not persisted: after a restart, a listed row with a higher turn counts as up to date.
@@ -138,10 +141,11 @@
     if (write_in_progress_ || (next_write_at_ && now < *next_write_at_) || !follower(fleet_topic::vms).is_gap_free()) {
         return;
     }
+    const bool is_secret_stored = follower(fleet_topic::vms).value_of(shared_secret_key) != nullptr;
+    if (!is_secret_stored && may_write_secret() && (!secret_ || is_row_writer())) {
+        write_secret();
+    }
     if (!secret_) {
-        if (may_write_secret()) {
-            write_secret();
-        }
         return;
     }
     if (!link_) {
@@ -158,7 +162,7 @@
     // The secret, or the record with which this write conflicts, arrives through the follower. Until then it is not
     // written again.
     next_write_at_ = loop_.time().now() + settings_.write_retry_delay;
-    std::vector<keyed_record> records{{shared_secret_key, make_secret(), 0}};
+    std::vector<keyed_record> records{{shared_secret_key, secret_.value_or(make_secret()), 0}};
     if (!settings_.self.address.ends_with(":0")) {
         // With the address of this VM, the other VMs have an upstream at once.
         records.push_back(write_vm_record(settings_.self));
--- a/lib/gateway/record_relay_rows.cpp
+++ b/lib/gateway/record_relay_rows.cpp
@@ -18,6 +18,9 @@
 
 void record_relay::write_row(fleet_topic topic, const keyed_record& row)
 {
+    if (topic == fleet_topic::evidence) {
+        own_evidence_[row.key] = *row.value;
+    }
     pending_row& pending = pending_rows_[{static_cast<std::uint8_t>(topic), row.key}];
     pending.is_own = true;
     if (pending.value == row.value) {
@@ -29,6 +32,22 @@
     schedule_row_batch();
 }
 
+/// Queues the own rows of evidence that the store lacks, or has in an older form, as it was restored from a copy. The
+/// row in the list of VMs is restored by ensure_listed().
+void record_relay::restore_own_rows()
+{
+    const topic_follower& evidence = follower(fleet_topic::evidence);
+    if (!evidence.is_gap_free()) {
+        return;
+    }
+    for (const auto& [key, value] : own_evidence_) {
+        const std::string* stored = evidence.value_of(key);
+        if (stored == nullptr || *stored != value) {
+            write_row(fleet_topic::evidence, {key, value, 0});
+        }
+    }
+}
+
 /// Queues a row that a subscriber has forwarded.
 void record_relay::queue_forwarded_row(const row_to_write& row)
 {
--- a/lib/gateway/rollout_watch.cpp
+++ b/lib/gateway/rollout_watch.cpp
@@ -28,13 +28,29 @@
 
 void rollout_watch::apply_report(const rollout_report& report)
 {
-    if (report.target != order_.target || state_ != rollout_state::in_progress) {
+    if (report.target != order_.target) {
         return;
     }
     const bool is_of_earlier_order = report.order_position && precedes(*report.order_position, order_.position);
-    if (report.state != rollout_state::reverted || !is_of_earlier_order) {
+    const bool is_first = state_ == rollout_state::in_progress;
+    if (is_first && (report.state != rollout_state::reverted || !is_of_earlier_order)) {
         state_ = report.state;
     }
+    if (report.state == state_) {
+        reported_position_ = report.order_position.value_or(order_.position);
+    }
+}
+
+void rollout_watch::note_store_restored(steady_time now)
+{
+    restored_at_ = now;
+    reported_position_.reset();
+}
+
+bool rollout_watch::is_report_missing() const
+{
+    const bool is_reported = reported_position_ && reported_position_->era == order_.position.era;
+    return state_ != rollout_state::in_progress && restored_at_ && !is_reported;
 }
 
 version_choice rollout_watch::choose(double draw, std::optional<session_hash> session, double vms, steady_time now)
@@ -234,11 +250,13 @@
 
 std::optional<rollout_report> rollout_watch::next_report(steady_time now, bool target_serves, bool is_reader)
 {
+    const auto delay = report_delay_ / 2 + (is_reader ? std::chrono::milliseconds{0} : settings_.report_spread / 2);
     if (state_ != rollout_state::in_progress) {
-        return std::nullopt;
+        const bool is_due = is_report_missing() && now - *restored_at_ >= settings_.repeated_report_delay + delay;
+        return is_due ? std::optional{rollout_report{order_.service, order_.target, state_, order_.position, {}}}
+                      : std::nullopt;
     }
     update_verdict(now);
-    const auto delay = report_delay_ / 2 + (is_reader ? std::chrono::milliseconds{0} : settings_.report_spread / 2);
     if (stop_since_) {
         // VMs that are not readers wait longer: only the first report is accepted, so theirs would be refused.
         if (now - *stop_since_ < settings_.revert_delay + (is_reader ? std::chrono::milliseconds{0} : delay)) {
--- a/test/restored_store_test.py
+++ b/test/restored_store_test.py
@@ -1,10 +1,12 @@
 """Tests of transparent requests while the store comes back from an older copy of itself, with real daemons."""
 
+import base64
+import json
 import time
 import unittest
 
 from gateway_test import KEY, GatewayCase, service_map
-from harness.processes import wait_until
+from harness.processes import http_call, wait_until
 
 # Bounds of the operators for machines in touch, which they are this long after the store is back.
 CONFIG_S = 2.0
@@ -92,6 +94,52 @@
         self.assertEqual(self.statuses(), {200})
         self.assertEqual(self.fleet.counts("calls-1")["runs"], before)
 
+    def stored_report(self, service):
+        """Returns the report on a service's roll-out that the store has, or None."""
+        page = http_call(self.fleet.platform["store"], "GET", "/v1/log-newest?topic=keyed.status&part=0").json()
+        for item in page["items"]:
+            if item["key"] == "rollout/" + service:
+                return json.loads(base64.b64decode(item["value"]))
+        return None
+
+    def order_rollout(self, service, duration_s):
+        self.put_record("keyed.op", "rollout/" + service,
+                        {"backend": service, "target": "v2", "duration_s": duration_s})
+
+    # Guards against roll-outs whose end the operator never learns of, and against reverted versions that are rolled out
+    # again by VMs that start later, after the store came back from a copy without the report.
+    def test_a_report_that_the_restored_store_lacks_is_written_again_and_later_ones_can_be_written(self):
+        self.start_server("calls", "calls-3", version="v2")
+        self.fleet.faults("calls-3", fails=True)
+        self.order_rollout("calls", 40)
+        self.keep_copy()
+
+        def is_reverted():
+            self.statuses()
+            return self.stored_report("calls") is not None
+
+        wait_until(is_reverted, "the bad version to be reverted")
+        before = self.stored_report("calls")
+        self.assertEqual((before["state"], before["target"]), ("reverted", "v2"))
+        time.sleep(1)
+        self.restore_copy()
+        self.assertIsNone(self.stored_report("calls"))
+        time.sleep(CONTACT_S + CONFIG_S)
+        after = self.stored_report("calls")
+        self.assertIsNotNone(after)
+        self.assertEqual((after["state"], after["target"]), ("reverted", "v2"))
+
+        runs = self.fleet.counts("calls-3")["runs"]
+        restarted = self.start_entry("vm-5", 6)
+        for _ in range(30):
+            self.assertEqual(self.fetch("safe", entry=restarted)[1], 200)
+        self.assertEqual(self.fleet.counts("calls-3")["runs"], runs)
+
+        self.start_server("talk", "talk-3", version="v2")
+        self.order_rollout("talk", 6)
+        time.sleep(6)
+        self.assertEqual(self.stored_report("talk")["state"], "complete")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -315,7 +315,7 @@
 SCENARIO("after the store was restored from an older copy, orders reach all VMs, and none goes back to an older one")
 {
     const std::size_t count = GENERATE(1U, 3U, 6U, 40U);
-    const std::size_t lost_records = GENERATE(1U, 2U);
+    const std::size_t lost_records = GENERATE(1U, 3U, 30U);
     const duration away = GENERATE(200ms, 1000ms, 5000ms);
     const bool restarts_one = GENERATE(false, true);
     const bool restores_again = GENERATE(false, true);
@@ -341,6 +341,42 @@
     CHECK(test.readers().size() == std::min(count, reader_count(count)));
 }
 
+// Guards against VMs that cannot talk to each other, and evidence that VMs which start later lack, after the store came
+// back from a copy without the system's own records.
+SCENARIO("the secret, the list of VMs and rows of evidence are written again after the store was restored without them")
+{
+    constexpr auto list = static_cast<std::size_t>(fleet_topic::vms);
+    constexpr auto evidence = static_cast<std::size_t>(fleet_topic::evidence);
+    const auto stored = [](const fleet& in, std::size_t topic, const std::string& key) {
+        std::optional<std::string> value;
+        for (const keyed_record& record : in.store.topics[topic]) {
+            value = record.key == key ? record.value : value;
+        }
+        return value;
+    };
+    const std::size_t count = GENERATE(1U, 3U, 40U);
+    CAPTURE(count);
+    fleet test{count};
+    test.loop.advance(10s);
+    const auto secret = stored(test, list, shared_secret_key);
+    REQUIRE(secret);
+    test.vms[0]->relay->write_row(fleet_topic::evidence, {"vm-0/service", "counts", 0});
+    test.loop.advance(5s);
+    REQUIRE(stored(test, evidence, "vm-0/service") == "counts");
+
+    test.store.stop();
+    test.loop.advance(500ms);
+    test.store.restore(1000);
+    REQUIRE(!stored(test, list, shared_secret_key));
+    test.loop.advance(5s);
+    CHECK(stored(test, list, shared_secret_key) == secret);
+    CHECK(stored(test, evidence, "vm-0/service") == "counts");
+    for (std::size_t i = 0; i < count; ++i) {
+        CHECK(stored(test, list, vm_record_key(test.vms[i]->self.name)));
+        CHECK(test.vms[i]->relay->vms() == count);
+    }
+}
+
 SCENARIO("malformed and unsolicited messages of other VMs change nothing")
 {
     fleet test{3};
--- a/unittests/gateway/rollout_watch_test.cpp
+++ b/unittests/gateway/rollout_watch_test.cpp
@@ -624,3 +624,48 @@
     CHECK(!read_evidence("\xff"));
     CHECK(!read_evidence(R"({"vm":1,"service":"s","target":"t","target_good":"many"})"));
 }
+
+// Guards against an end that the operator never learns of, as the store came back from a copy without the report.
+SCENARIO("the end of a roll-out is reported again if a restored store lacks the report")
+{
+    manual_clock time;
+    const log_position before{store_era{1}, 50};
+    rollout_watch watch{{order.service, order.target, 24s, before}, {}, 1, {}, time.now()};
+    const auto state = GENERATE(rollout_state::complete, rollout_state::reverted);
+    const rollout_report report{order.service, order.target, state, before, {}};
+    watch.apply_report(report);
+    const auto next = [&watch, &time] { return watch.next_report(time.now(), true, true); };
+    time.advance(10s);
+    CHECK(!next());
+    watch.note_store_restored(time.now());
+
+    WHEN("the copy lacks the report, it is written again, and once only")
+    {
+        const log_position after{store_era{2}, 40};
+        watch.set_order_position(after);
+        CHECK(!next());
+        time.advance(2s);
+        const auto repeated = next();
+        REQUIRE(repeated);
+        CHECK(repeated->state == state);
+        CHECK(repeated->order_position == after);
+        watch.apply_report(*repeated);
+        time.advance(10s);
+        CHECK(!next());
+    }
+    WHEN("the copy has an earlier report, it is not taken for this one")
+    {
+        watch.apply_report(
+            {order.service, version_name{"v1"}, rollout_state::complete, log_position{store_era{1}, 20}, {}});
+        time.advance(2s);
+        CHECK(next());
+    }
+    WHEN("the copy has the report, it is written again only if the order has another position now")
+    {
+        watch.apply_report(report);
+        time.advance(2s);
+        CHECK(!next());
+        watch.set_order_position({store_era{2}, 50});
+        CHECK(next());
+    }
+}
