Scan each byte of an event stream once

Cause: event_splitter searched all that it held for the end of an event each time that bytes were added, and the parser hands over each chunk by itself. The work for one event grew with its length times the number of its chunks, on the event loop.

Ruled out: the parsing of chunks (the splitter alone takes the time), and a silent stream that is left too late (it is left once the loop runs).

That events don't depend on how a stream is divided is checked on 100 random streams.

--- a/lib/gateway/event_splitter.cpp
+++ b/lib/gateway/event_splitter.cpp
@@ -3,50 +3,35 @@
 
 namespace agatespar {
 
-namespace {
-
-/// The complete events at the start of a piece of a stream.
-struct complete_events {
-    /// Number of bytes that form complete events.
-    std::size_t size{0};
-    std::size_t count{0};
-};
-
-} // namespace
-
-static complete_events find_complete_events(std::string_view bytes)
+std::string_view event_splitter::append_bytes(std::string_view bytes)
 {
-    complete_events found;
-    std::size_t line = 0;
-    bool has_content = false;
-    for (std::size_t i = 0; i < bytes.size(); ++i) {
-        if (bytes[i] != '\n') {
+    const std::size_t scanned = partial_.size();
+    partial_.append(bytes);
+    std::size_t complete = 0;
+    for (std::size_t end = partial_.find('\n', scanned); end != std::string::npos; end = partial_.find('\n', end + 1)) {
+        const std::string_view line = std::string_view{partial_}.substr(line_start_, end - line_start_);
+        line_start_ = end + 1;
+        if (!line.empty() && line != "\r") {
+            has_content_ = true;
             continue;
         }
-        const std::string_view content = bytes.substr(line, i - line);
-        if (content.empty() || content == "\r") {
-            found.size = i + 1;
-            // Only the first of several blank lines ends an event.
-            found.count += has_content ? 1 : 0;
-            has_content = false;
-        }
-        else {
-            has_content = true;
-        }
-        line = i + 1;
+        complete = line_start_;
+        // Only the first of several blank lines ends an event.
+        completed_ += has_content_ ? 1 : 0;
+        has_content_ = false;
     }
-    return found;
+    complete_.assign(partial_, 0, complete);
+    partial_.erase(0, complete);
+    line_start_ -= complete;
+    update_last_id(complete_);
+    return complete_;
 }
 
-std::string_view event_splitter::append_bytes(std::string_view bytes)
+void event_splitter::drop_partial()
 {
-    partial_.append(bytes);
-    const complete_events found = find_complete_events(partial_);
-    completed_ += found.count;
-    complete_.assign(partial_, 0, found.size);
-    partial_.erase(0, found.size);
-    update_last_id(complete_);
-    return complete_;
+    partial_.clear();
+    line_start_ = 0;
+    has_content_ = false;
 }
 
 void event_splitter::update_last_id(std::string_view events)
--- a/test/broken_answers_test.py
+++ b/test/broken_answers_test.py
@@ -10,7 +10,7 @@
 
 from gateway_test import FaultyServer, GatewayCase
 from harness.fleet import Fleet, new_key
-from harness.processes import wait_until
+from harness.processes import BackgroundTask, wait_until
 
 BODY = b"Content-Length: 4\r\n\r\nfull"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -97,6 +97,57 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+class EndlessEventServer(BreakingServer):
+    """Begins each answer soundly, and goes on with one event without an end, in chunks of some bytes."""
+
+    PIECE = b"4\r\nabcd\r\n" * 400
+
+    def answer(self, connection, reader, headers):
+        identity = headers["X-Attempt-Id"]
+        connection.sendall(OK + f"X-Attempt-Id: {identity}\r\nX-Runner-Seal: s.1\r\nX-Confidence: 90\r\n".encode() +
+                           b"Content-Type: text/event-stream\r\n" + CHUNKED + b"6\r\ndata: \r\n")
+        self.runs.append(identity)
+        while True:
+            connection.sendall(self.PIECE)
+
+
+class WithEndlessEvents(GatewayCase):
+    TIMEOUT_S = 0.8
+    LATE_S = 0.5
+
+    def configuration(self):
+        read = super().configuration()
+        for route in read["routes"]:
+            if route["name"] == "unsafe":
+                route["timeout_ms"] = int(1000 * self.TIMEOUT_S)
+        return read
+
+    # Guards against requests that get no answer in time as the VM scans an event without an end again with each chunk.
+    def test_other_requests_are_answered_in_time_while_an_event_without_end_comes_in_small_chunks(self):
+        endless = EndlessEventServer()
+        self.addCleanup(endless.listener.close)
+        for name in ("talk-1", "talk-2"):
+            self.put_record("keyed.servers", name, None)
+        self.servers["endless"] = {"backend": "talk", "address": endless.address, "zone": "hall-a", "version": "v1",
+                                   "slots": 8, "cold_left_ms": 0}
+        self.publish_server("endless", "ready")
+        wait_until(lambda: "endless" in {line["server"] for line in self.log_lines("vm-1", "server_ready")},
+                   "the faulty server to be known")
+        streams = [BackgroundTask(lambda: self.fetch("stream", headers={"X-Deadline-Ms": "6000"})) for _ in range(4)]
+        wait_until(lambda: len(endless.runs) >= len(streams), "the streams to begin")
+        longest = 0.0
+        for _ in range(40):
+            began = time.monotonic()
+            self.assertEqual(self.fetch("unsafe")[1], 200)
+            longest = max(longest, time.monotonic() - began)
+            time.sleep(0.05)
+        for stream in streams:
+            stream.wait()
+        self.assertLess(longest, self.TIMEOUT_S + self.LATE_S)
+        attempts = [line["attempts"] for line in self.log_lines("vm-1", "request_ended")]
+        self.assertEqual(len([each for each in attempts if "an event has no end" in each]), len(streams))
+
+
 class WithTransparentRequests(GatewayCase):
     """All servers break their answers."""
 
--- a/unittests/gateway/decisions_test.cpp
+++ b/unittests/gateway/decisions_test.cpp
@@ -86,6 +86,31 @@
     }
 }
 
+SCENARIO("which events are complete does not depend on how a stream is divided")
+{
+    const int seed = GENERATE(range(1, 101));
+    CAPTURE(seed);
+    std::mt19937_64 random{static_cast<std::uint64_t>(seed)};
+    std::string stream;
+    for (int i = 0; i < 60; ++i) {
+        static constexpr std::array<std::string_view, 7> pieces{"id: 7", "data", "\r", "\n", "\n", "\n\n", "\r\n\r\n"};
+        stream += pieces[random() % pieces.size()];
+    }
+    event_splitter undivided;
+    const std::string expected{undivided.append_bytes(stream)};
+    event_splitter divided;
+    std::string passed;
+    for (std::size_t i = 0; i < stream.size();) {
+        const std::size_t size = 1 + random() % 5;
+        passed.append(divided.append_bytes(std::string_view{stream}.substr(i, size)));
+        i += size;
+    }
+    CHECK(passed == expected);
+    CHECK(divided.completed() == undivided.completed());
+    CHECK(divided.last_id() == undivided.last_id());
+    CHECK(divided.partial_size() == undivided.partial_size());
+}
+
 SCENARIO("requests with the same prompt go to one server until its load exceeds the bound")
 {
     std::mt19937_64 random{3};
