--- a/include/agatespar/gateway/gateway.h
+++ b/include/agatespar/gateway/gateway.h
@@ -54,6 +54,8 @@
     /// How long after a restoration of the store entries of its copy are not trusted (`follower_settings`). The store
     /// removes the entry of a server that has ended three heartbeats after its last one.
     std::chrono::milliseconds server_restore_grace{4000};
+    /// Maximum size of a server's entry, which has some hundred bytes. Larger ones are of other writers.
+    std::size_t max_server_entry_bytes{std::size_t{16} * 1024};
     /// Time between reads of the VMs' evidence on roll-outs, so that one read returns the records of several VMs.
     std::chrono::milliseconds evidence_poll_interval{250};
     /// "ip:port" where this VM receives messages of other VMs.
--- a/include/agatespar/gateway/record_relay.h
+++ b/include/agatespar/gateway/record_relay.h
@@ -15,6 +15,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace agatespar {
 
@@ -199,13 +200,24 @@
         bool is_unwritten() const { return !written_at; }
     };
     using row_key = std::pair<std::uint8_t, std::string>;
+    struct packed_frame {
+        message_kind kind{message_kind::records_topic};
+        std::string payload;
+    };
     /// An encoded update, reused for all subscribers that lack the same records.
     struct packed_update {
         std::uint64_t era{0};
         std::uint64_t from{0};
         std::uint64_t end{0};
-        std::string payload;
-        bool compressed{false};
+        /// One frame, or the parts of a large snapshot.
+        std::vector<packed_frame> frames;
+    };
+    /// The parts of a snapshot that have been received from one VM.
+    struct partial_snapshot {
+        std::string sender;
+        std::uint64_t era{0};
+        std::uint64_t end{0};
+        std::vector<std::optional<topic_update>> parts;
     };
 
     topic_follower& follower(fleet_topic topic) const { return *followers_[static_cast<std::size_t>(topic)]; }
@@ -253,6 +265,8 @@
     void release_confirmed(subscriber& peer, const records_pull& pull);
     void push_updates(const std::string& address, subscriber& peer, bool with_status);
     bool pack_update(const topic_position& position);
+    bool send_frames(const std::string& address, const packed_update& packed);
+    void handle_snapshot_part(const std::string& from, snapshot_part part);
     void push_to_subscribers(bool with_status);
     bool claim_status_push();
     void push_status_if_due();
@@ -311,6 +325,7 @@
     std::map<std::string, std::string> own_evidence_;
     std::array<packed_update, fleet_topic_count> snapshots_;
     std::array<packed_update, fleet_topic_count> changes_;
+    std::array<partial_snapshot, fleet_topic_count> received_parts_;
     steady_time started_;
     steady_time last_pull_at_;
     std::chrono::milliseconds current_pull_interval_;
--- a/include/agatespar/gateway/relay_messages.h
+++ b/include/agatespar/gateway/relay_messages.h
@@ -75,6 +75,16 @@
     MSGPACK_DEFINE_ARRAY(topic, newest, from, end, records, era)
 };
 
+/// One part of a snapshot that is too large for a single frame. Each part has the topic, era and end of the snapshot.
+/// Sent compressed as `records_part`.
+struct snapshot_part {
+    std::uint32_t index{0};
+    std::uint32_t count{0};
+    topic_update update;
+
+    MSGPACK_DEFINE_ARRAY(index, count, update)
+};
+
 /// State of the sender, sent in answer to a pull request and after contact with the store. It is a separate message
 /// from the records: otherwise VMs of different versions could regard each other as up to date while they can't decode
 /// each other's records.
--- a/include/agatespar/gateway/topic_follower.h
+++ b/include/agatespar/gateway/topic_follower.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -28,6 +29,9 @@
     /// How long after a restoration of the store the records of its copy are not trusted to be the newest, as operators
     /// and servers write again what the copy lacks. Entries of servers are back about two seconds after the store.
     std::chrono::milliseconds restore_grace{2500};
+    /// A record with a larger value counts as the removal of its key: nobody uses such a value, so it is neither kept
+    /// nor forwarded.
+    std::size_t max_value_bytes{std::numeric_limits<std::size_t>::max()};
     /// The topic is expected to have no records yet: following starts at offset 0 without reading the newest records
     /// first. Records that exist nevertheless are read as changes.
     bool starts_empty{false};
@@ -135,6 +139,7 @@
     void apply_range(const log_range& range);
     void extend_to(std::uint64_t end, const std::vector<keyed_record>& records);
     void apply_record(const keyed_record& record);
+    keyed_record limit_value(const keyed_record& record) const;
     void set_reachable(bool reachable, const std::string& reason, steady_time since);
     steady_time unreachable_since() const;
     void retry(std::function<void()> action);
--- a/include/agatespar/wire/message_kind.h
+++ b/include/agatespar/wire/message_kind.h
@@ -43,6 +43,7 @@
     records_topic = 62,
     records_packed = 63,
     relay_status = 64,
+    records_part = 65,
 };
 
 } // namespace agatespar
--- a/include/agatespar/wire/transport.h
+++ b/include/agatespar/wire/transport.h
@@ -4,6 +4,7 @@
 #include <agatespar/support/outcome.h>
 #include <agatespar/wire/frame.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +14,9 @@
 
 class glib_event_loop;
 
+/// Maximum size of a sealed frame. A receiver closes the connection on which a larger one arrives.
+inline constexpr std::size_t max_frame_bytes = std::size_t{2} << 20U;
+
 /// Address at which a process receives frames, and the identity and key with which it sends them.
 struct transport_settings {
     /// "ip:port"; port 0 selects a free one.
@@ -27,7 +31,7 @@
     std::uint64_t bytes_sent{0};
     std::uint64_t frames_received{0};
     std::uint64_t bytes_received{0};
-    /// Frames that could not be queued for sending, e.g. because the queue of the peer is full.
+    /// Frames that could not be queued for sending, e.g. because the queue of the peer is full, or that are too large.
     std::uint64_t frames_dropped{0};
     /// Received frames that are malformed or not sealed with the VM key.
     std::uint64_t frames_refused{0};
@@ -54,7 +58,7 @@
     boot_id self() const;
     /// Sets the function that is called for every received frame that is neither refused nor replayed.
     void set_handler(frame_handler handler);
-    /// Sends a message. @param address the receiver's address, "ip:port".
+    /// Sends a message, unless its frame is too large for receivers. @param address the receiver's address, "ip:port".
     /// @return whether it was queued for sending; delivery is not guaranteed.
     bool send(const std::string& address, message_kind kind, std::string payload);
     /// Closes the connection to a peer and drops its queued frames; the next message opens a new connection.
--- a/lib/gateway/gateway.cpp
+++ b/lib/gateway/gateway.cpp
@@ -144,6 +144,7 @@
         follower.wait = settings.poll_wait;
         follower.poll_interval = settings.server_poll_interval;
         follower.restore_grace = settings.server_restore_grace;
+        follower.max_value_bytes = settings.max_server_entry_bytes;
         break;
     case fleet_topic::evidence:
         follower.wait = settings.rollout_poll_wait;
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -1,5 +1,6 @@
 // Reads the newest records page by page, then the log from the offset that they reach.
 #include <agatespar/gateway/topic_follower.h>
+#include <agatespar/telemetry/log.h>
 
 #include <algorithm>
 
@@ -226,7 +227,7 @@
     }
     for (const keyed_record& record : page.records) {
         listed_keys_.insert(record.key);
-        apply_newest_record(record);
+        apply_newest_record(limit_value(record));
     }
     if (page.more && !page.records.empty()) {
         read_newest(page.records.back().key);
@@ -365,8 +366,9 @@
 {
     for (const keyed_record& record : records) {
         if (record.offset >= next_offset_) {
-            append_to_history(record);
-            apply_record(record);
+            const keyed_record limited = limit_value(record);
+            append_to_history(limited);
+            apply_record(limited);
         }
     }
     next_offset_ = end;
@@ -389,7 +391,7 @@
         listed_keys_.insert(record.key);
         // A record from before `next_offset_` whose key is unknown here was removed later; it must not reappear.
         if (record.offset >= next_offset_) {
-            apply_newest_record(record);
+            apply_newest_record(limit_value(record));
         }
     }
     next_offset_ = end;
@@ -432,7 +434,8 @@
         return &known->second.value;
     }
     const auto doubtful = doubtful_records_.find(key);
-    return doubtful == doubtful_records_.end() ? nullptr : &*doubtful->second.value;
+    const bool has_value = doubtful != doubtful_records_.end() && doubtful->second.value;
+    return has_value ? &*doubtful->second.value : nullptr;
 }
 
 /// @return whether a record of the store's newest ones may be older than what is known of its key: its offset is lower
@@ -477,6 +480,17 @@
     notify_changed(record);
 }
 
+keyed_record topic_follower::limit_value(const keyed_record& record) const
+{
+    if (!record.value || record.value->size() <= settings_.max_value_bytes) {
+        return record;
+    }
+    log_event(
+        log_severity::warning, "store_record_too_large",
+        {{"key", record.key}, {"offset", record.offset}, {"bytes", static_cast<std::uint64_t>(record.value->size())}});
+    return {record.key, std::nullopt, record.offset};
+}
+
 void topic_follower::note_removal(const std::string& key, std::uint64_t offset)
 {
     const steady_time now = loop_.time().now();
--- a/lib/wire/transport.cpp
+++ b/lib/wire/transport.cpp
@@ -15,7 +15,6 @@
 static constexpr int peer_queue_length = 256;
 // Maximum received frames that wait for the event loop.
 static constexpr int receive_queue_length = 1024;
-static constexpr std::size_t max_frame_bytes = std::size_t{2} << 20U;
 static constexpr nng_duration reconnect_min_ms = 50;
 static constexpr nng_duration reconnect_max_ms = 1000;
 // Maximum frames that one iteration of the event loop handles, so that its other sources are not starved.
@@ -212,7 +211,8 @@
     const frame content{impl_->settings.self, impl_->address, impl_->next_sequence++,
                         time.wall_now(),      kind,           std::move(payload)};
     std::string sealed = seal_frame(content, impl_->settings.key);
-    if (nng_send(target->socket, sealed.data(), sealed.size(), NNG_FLAG_NONBLOCK) != 0) {
+    if (sealed.size() > max_frame_bytes ||
+        nng_send(target->socket, sealed.data(), sealed.size(), NNG_FLAG_NONBLOCK) != 0) {
         ++impl_->total.frames_dropped;
         ++by_kind.frames_dropped;
         return false;
--- a/test/gateway_test.py
+++ b/test/gateway_test.py
@@ -1,5 +1,6 @@
 """Tests of transparent requests with real daemons, stand-ins of the store and of servers, and injected faults."""
 
+import base64
 import http.client
 import itertools
 import json
@@ -1179,6 +1180,23 @@
         self.wait_for_key("key-three")
         wait_until(lambda: len(self.readers()) == 2, "another VM to become a reader")
 
+    # Guards against a leaving server that gets requests, and against processes that end, as the entries of another writer
+    # make the records that the VMs forward larger than the VMs take.
+    def test_large_entries_of_another_writer_neither_hide_later_entries_nor_end_a_process(self):
+        for number in range(16):
+            self.put_record("keyed.servers", f"foreign-{number}", base64.b64encode(os.urandom(180_000)).decode())
+            time.sleep(0.1)
+        time.sleep(1)
+        self.publish_server("calls-1", "draining")
+        time.sleep(2)
+        before = self.fleet.counts("calls-1")["runs"]
+        for _ in range(10):
+            for name, entry in self.entries.items():
+                self.assertEqual(self.fetch("safe", entry=entry)[1], 200, name)
+        self.assertEqual(self.fleet.counts("calls-1")["runs"], before)
+        for name in self.entries:
+            self.assertTrue(self.fleet.processes[name].running(), name)
+
     def test_all_vms_keep_serving_while_the_store_is_down_and_get_updates_afterwards(self):
         self.fleet.faults("store", down=True)
         for name in self.entries:
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -377,6 +377,70 @@
     }
 }
 
+/// @return bytes that cannot be compressed.
+static std::string random_bytes(std::mt19937_64& random, std::size_t size)
+{
+    std::string bytes;
+    while (bytes.size() < size) {
+        bytes.push_back(static_cast<char>(random()));
+    }
+    return bytes;
+}
+
+// Guards against a snapshot that is larger than a frame, is refused by its receiver each time, and hides all later
+// records from it.
+SCENARIO("a topic that does not fit into one frame reaches VMs that are behind, and VMs that start")
+{
+    const std::size_t value_bytes = GENERATE(16U * 1024U, 240U * 1024U, 262'000U);
+    CAPTURE(value_bytes);
+    fleet test{5};
+    test.order(1);
+    test.loop.advance(10s);
+    std::mt19937_64 random{7};
+    const std::size_t count = (6U << 20U) / value_bytes;
+    for (std::size_t i = 0; i < count; ++i) {
+        test.store.write(1, "foreign-" + std::to_string(i), random_bytes(random, value_bytes));
+    }
+    test.store.write(1, "i-1", "leaving");
+    test.loop.advance(1990ms);
+    CHECK(test.vms_lacking(1) == 0);
+    test.kill(4);
+    test.start(4);
+    test.kill(3);
+    test.start(3);
+    test.loop.advance(1990ms);
+    CHECK(test.vms_lacking(1) == 0);
+    test.store.write(1, "i-2", "leaving");
+    test.loop.advance(100ms);
+    CHECK(test.vms_lacking(1) == 0);
+    for (const auto& each : test.vms) {
+        CHECK(each->refused_frames == 0);
+    }
+}
+
+SCENARIO("parts of a snapshot that are malformed, or of another snapshot, change nothing")
+{
+    fleet test{2};
+    test.order(1);
+    test.store.write(1, "i-1", "ready");
+    test.loop.advance(10s);
+    const std::string sender = fleet::address_of(1);
+    const auto send = [&](std::uint32_t index, std::uint32_t count, std::uint64_t end, const std::string& key) {
+        snapshot_part part{index, count, {1, true, 0, end, {{key, false, "ready", end - 1}}, 1}};
+        test.vms[0]->receiver(sender, message_kind::records_part, compress(encode(part)));
+    };
+    send(0, 2, 90, "first");
+    send(1, 2, 91, "of another end");
+    send(0, 3, 91, "of another count");
+    send(2, 2, 91, "beyond the count");
+    send(0, 0, 91, "of none");
+    send(0, 1U << 31U, 91, "of too many");
+    test.vms[0]->receiver(sender, message_kind::records_part, "no compressed bytes");
+    test.vms[0]->receiver(sender, message_kind::records_part, compress("\xc1"));
+    test.loop.advance(5s);
+    CHECK(test.vms[0]->values == std::map<std::string, std::string>{{"i-1", "ready"}, {"order", "1"}});
+}
+
 SCENARIO("malformed and unsolicited messages of other VMs change nothing")
 {
     fleet test{3};
--- a/unittests/gateway/relay_fleet.h
+++ b/unittests/gateway/relay_fleet.h
@@ -3,6 +3,7 @@
 
 #include <agatespar/gateway/record_relay.h>
 #include <agatespar/kernel/manual_event_loop.h>
+#include <agatespar/wire/transport.h>
 
 #include <algorithm>
 #include <set>
@@ -98,6 +99,8 @@
     steady_time sends_until;
     steady_time receives_until;
     std::size_t bytes_sent{0};
+    /// Frames that its link did not take, as they are too large.
+    int refused_frames{0};
     /// Maximum number of bytes queued for its link.
     std::size_t max_queued_bytes{0};
     /// When contact with the store was last lost, by topic, and the keys that were deleted before it was restored.
@@ -328,6 +331,10 @@
             if (to == vms.size() || is_link_cut(from, to)) {
                 return true;
             }
+            if (payload.size() + frame_bytes > max_frame_bytes) {
+                ++vms[from]->refused_frames;
+                return false;
+            }
             vms[from]->bytes_sent += payload.size() + frame_bytes;
             const duration sent = occupy_link(*vms[from], vms[from]->sends_until, payload.size());
             const duration taken = occupy_link(*vms[to], vms[to]->receives_until, payload.size());
--- a/unittests/gateway/topic_follower_test.cpp
+++ b/unittests/gateway/topic_follower_test.cpp
@@ -488,3 +488,27 @@
         CHECK(vms[vm]->end() == topic.log.size());
     }
 }
+
+// Guards against values of other writers that take the VMs' memory and links.
+SCENARIO("a value beyond the topic's limit counts as the removal of its key")
+{
+    fake_topic topic;
+    topic.write("a", "1");
+    topic.write("large", std::string(11, 'x'));
+    change_recorder recorded;
+    follower_settings settings = follow(fleet_topic::servers);
+    settings.max_value_bytes = 10;
+    topic_follower follower{topic.loop, topic.store, settings, recorded.callbacks()};
+    follower.set_reading(true);
+    topic.loop.advance(100ms);
+    CHECK(recorded.values == strings{{"a", "1"}});
+    topic.write("a", std::string(11, 'x'));
+    topic.write("b", std::string(10, 'x'));
+    topic.loop.advance(100ms);
+    CHECK(recorded.values == strings{{"b", std::string(10, 'x')}});
+    CHECK(follower.newest().size() == 1);
+    CHECK(follower.end() == topic.log.size());
+    const auto changes = follower.changes_since(2);
+    REQUIRE(changes);
+    CHECK(!changes->front().value);
+}
--- a/unittests/wire/transport_test.cpp
+++ b/unittests/wire/transport_test.cpp
@@ -97,6 +97,26 @@
             CHECK((*second)->counters_of(message_kind::probe_ack).frames_sent == 2);
         }
     }
+    // Guards against a frame that makes its receiver close the connection, with all frames that are queued on it.
+    GIVEN("a message that is too large for a frame")
+    {
+        std::vector<std::size_t> received;
+        (*second)->set_handler([&](const frame& content) {
+            received.push_back(content.payload.size());
+            loop.quit();
+        });
+        const std::string largest(max_frame_bytes - 1024, 'x');
+        THEN("it is not sent, and the frames before and after it arrive")
+        {
+            CHECK((*first)->send((*second)->address(), message_kind::probe, largest));
+            CHECK(!(*first)->send((*second)->address(), message_kind::probe, std::string(max_frame_bytes, 'x')));
+            CHECK((*first)->counters().frames_dropped == 1);
+            loop.run();
+            CHECK((*first)->send((*second)->address(), message_kind::probe, "after"));
+            loop.run();
+            CHECK(received == std::vector<std::size_t>{largest.size(), 5});
+        }
+    }
     GIVEN("an address at which no process listens")
     {
         THEN("frames are queued up to a limit and then dropped")
