Select the forwarded fields of a message in less than quadratic time

Callers would see a VM that is blocked by heads of legal size: each field was compared with each other one, and with each name that a Connection field lists.

Cause: is_hop_by_hop() searched the complete header for each field.

Change: the names that Connection fields list are collected and sorted once for a message (hop_by_hop_fields); end_to_end_fields() replaces two copies of the selection.

The scenario on which fields are dropped keeps its checks on the new interface and has more.

Five checks of unittests/http/message_reader_test.cpp were changed, since the function that they call, is_hop_by_hop(), is gone: "connection", "Transfer-Encoding", "Content-Length" and "x-private" are dropped and "X-Public" is not. Each is made of hop_by_hop_fields::contains() with the same name and result; two more follow, on a second Connection field and on the fields that remain.

--- a/include/agatespar/http/message.h
+++ b/include/agatespar/http/message.h
@@ -65,9 +65,21 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-/// @return whether a field applies to a single connection and is not forwarded: the fields of RFC 9110, section 7.6.1,
-/// the fields that the message's Connection field lists, and the framing, which the router writes itself.
-bool is_hop_by_hop(const http_headers& headers, std::string_view name);
+/// The fields of a message that apply to a single connection and are not forwarded: those of RFC 9110, section 7.6.1,
+/// those that the message's Connection field lists, and the framing, which the router writes itself.
+class hop_by_hop_fields {
+public:
+    explicit hop_by_hop_fields(const http_headers& headers);
+    /// Takes logarithmic time in the number of listed fields, as a peer chooses how many there are.
+    bool contains(std::string_view name) const;
+
+private:
+    /// The listed names, sorted without regard to case.
+    std::vector<std::string> listed_;
+};
+
+/// @return the fields of a message that are forwarded, in their order.
+http_headers end_to_end_fields(const http_headers& headers);
 
 /// How the body of a written message is framed.
 enum class body_framing {
--- a/lib/gateway/transparent_request_answer.cpp
+++ b/lib/gateway/transparent_request_answer.cpp
@@ -96,8 +96,7 @@
     if (is_streaming_ && !answer_started_) {
         answer_started_ = true;
         http_answer_head forwarded = head;
-        std::erase_if(forwarded.headers,
-                      [&head](const http_header& header) { return is_hop_by_hop(head.headers, header.name); });
+        forwarded.headers = end_to_end_fields(head.headers);
         exchange_->begin(forwarded);
         report_.first_byte =
             std::chrono::duration_cast<std::chrono::milliseconds>(owner_.loop_.time().now() - exchange_->start_time());
@@ -207,8 +206,7 @@
     }
     report_.is_forwarded = true;
     http_answer_head forwarded = head_;
-    std::erase_if(forwarded.headers,
-                  [this](const http_header& header) { return is_hop_by_hop(head_.headers, header.name); });
+    forwarded.headers = end_to_end_fields(head_.headers);
     body_.move_to(memory_holder::client_output);
     exchange_->answer_shared(forwarded, share(std::move(body_)), !is_safe_to_retry(*route_));
     finish(head_.status, "answered");
--- a/lib/http/message.cpp
+++ b/lib/http/message.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 
 namespace agatespar {
 
@@ -46,23 +47,42 @@
     return number;
 }
 
-bool is_hop_by_hop(const http_headers& headers, std::string_view name)
+/// Orders names without regard to case.
+static bool precedes_without_case(std::string_view left, std::string_view right)
+{
+    return boost::beast::iless{}({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+hop_by_hop_fields::hop_by_hop_fields(const http_headers& headers)
+{
+    for (const http_header& header : headers) {
+        if (!equal_without_case(header.name, "connection")) {
+            continue;
+        }
+        for (const auto token : boost::beast::http::token_list{header.value}) {
+            listed_.emplace_back(token.data(), token.size());
+        }
+    }
+    std::sort(listed_.begin(), listed_.end(), precedes_without_case);
+}
+
+bool hop_by_hop_fields::contains(std::string_view name) const
 {
     static constexpr std::array<std::string_view, 10> fixed{
         "connection", "keep-alive",       "te",     "trailer",        "transfer-encoding",
         "upgrade",    "proxy-connection", "expect", "content-length", "proxy-authorization"};
     const auto same = [name](std::string_view other) { return equal_without_case(other, name); };
-    if (std::any_of(fixed.begin(), fixed.end(), same)) {
-        return true;
-    }
-    const boost::beast::string_view wanted{name.data(), name.size()};
-    for (const http_header& header : headers) {
-        if (equal_without_case(header.name, "connection") &&
-            boost::beast::http::token_list{header.value}.exists(wanted)) {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(fixed.begin(), fixed.end(), same) ||
+           std::binary_search(listed_.begin(), listed_.end(), name, precedes_without_case);
+}
+
+http_headers end_to_end_fields(const http_headers& headers)
+{
+    const hop_by_hop_fields excluded{headers};
+    http_headers forwarded;
+    std::copy_if(headers.begin(), headers.end(), std::back_inserter(forwarded),
+                 [&excluded](const http_header& header) { return !excluded.contains(header.name); });
+    return forwarded;
 }
 
 static void append_fields(std::string& text, const http_headers& headers)
--- a/unittests/http/message_reader_test.cpp
+++ b/unittests/http/message_reader_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <ctime>
+#include <limits>
 #include <random>
 
 using namespace agatespar;
@@ -387,12 +389,40 @@
 
 SCENARIO("fields that apply to a single connection are not forwarded")
 {
-    const http_headers headers{{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X-Public", "2"}};
-    CHECK(is_hop_by_hop(headers, "connection"));
-    CHECK(is_hop_by_hop(headers, "Transfer-Encoding"));
-    CHECK(is_hop_by_hop(headers, "Content-Length"));
-    CHECK(is_hop_by_hop(headers, "x-private"));
-    CHECK(!is_hop_by_hop(headers, "X-Public"));
+    const http_headers headers{{"Connection", "close, X-Private"}, {"X-Private", "1"}, {"X-Public", "2"},
+                               {"connection", "x-other"},          {"X-Other", "3"},   {"TE", "trailers"}};
+    const hop_by_hop_fields fields{headers};
+    CHECK(fields.contains("connection"));
+    CHECK(fields.contains("Transfer-Encoding"));
+    CHECK(fields.contains("Content-Length"));
+    CHECK(fields.contains("x-private"));
+    CHECK(fields.contains("X-OTHER"));
+    CHECK(!fields.contains("X-Public"));
+    CHECK(end_to_end_fields(headers) == http_headers{{"X-Public", "2"}});
+}
+
+/// @return the processor time in seconds that it takes to select the forwarded ones of many fields, the least of five.
+static double selection_time(std::size_t count)
+{
+    http_headers headers{{"Connection", "close"}};
+    for (std::size_t i = 0; i < count; ++i) {
+        headers.push_back({"connection", "x" + std::to_string(i)});
+        headers.push_back({"y" + std::to_string(i), ""});
+    }
+    double least = std::numeric_limits<double>::max();
+    for (int i = 0; i < 5; ++i) {
+        const std::clock_t begin = std::clock();
+        CHECK(end_to_end_fields(headers).size() == count);
+        least = std::min(least, static_cast<double>(std::clock() - begin) / CLOCKS_PER_SEC);
+    }
+    return least;
+}
+
+// Guards against a head of many short fields that blocks the event loop.
+SCENARIO("the time to select the fields of a message that are forwarded grows little more than with their number")
+{
+    // Linear work takes eight times as long, quadratic work 64 times.
+    CHECK(selection_time(8000) <= 24 * selection_time(1000));
 }
 
 SCENARIO("written heads frame their bodies")
