Read records of VMs that state no era as of the receiver's

Cause: an era of 0 was compared like any other, though it means "not stated".

Change: it counts as the era that it is compared with, as it does for orders of roll-outs already.

Evidence: the new scenario "records of a VM of an earlier version count as of the receiver's era".

--- a/lib/gateway/record_relay_messages.cpp
+++ b/lib/gateway/record_relay_messages.cpp
@@ -5,13 +5,20 @@
 #include <agatespar/wire/compression.h>
 
 #include <algorithm>
-#include <tuple>
+#include <utility>
 
 namespace agatespar {
 
 // Limits what a message may decompress to.
 static constexpr std::size_t max_unpacked_bytes = std::size_t{16} << 20U;
 
+/// @return the era that a message states, or the one to compare with if it was sent by a VM of an earlier version,
+/// which states none.
+static store_era stated_era(std::uint64_t stated, store_era own)
+{
+    return stated == 0 ? own : store_era{stated};
+}
+
 /// @return a pull request for all records that this VM lacks.
 records_pull record_relay::make_pull() const
 {
@@ -244,12 +251,13 @@
         }
         const topic_follower& known = *followers_[requested.topic];
         const std::uint64_t era = known.era().value();
-        if (!known.is_gap_free() || era < peer.known.era) {
+        const std::uint64_t peer_era = stated_era(peer.known.era, known.era()).value();
+        if (!known.is_gap_free() || era < peer_era) {
             continue;
         }
         in_flight_update& sent = peer.sent[requested.topic];
         topic_position position = requested;
-        position.gap_free = requested.gap_free && peer.known.era == era;
+        position.gap_free = requested.gap_free && peer_era == era;
         if (sent.since && sent.era == era) {
             position = {requested.topic, true, sent.end};
         }
@@ -319,7 +327,7 @@
         records.push_back({record.key, record.deleted ? std::nullopt : std::optional{record.value}, record.offset});
     }
     topic_follower& target = *followers_[topic.topic];
-    const store_era era{topic.era};
+    const store_era era = stated_era(topic.era, target.era());
     if (!topic.newest) {
         target.apply_changes(era, topic.from, topic.end, records);
         return;
--- a/lib/gateway/topic_follower.cpp
+++ b/lib/gateway/topic_follower.cpp
@@ -292,6 +292,9 @@
 void topic_follower::apply_changes(store_era era, std::uint64_t from, std::uint64_t end,
                                    const std::vector<keyed_record>& records)
 {
+    if (era_ == store_era{}) {
+        adopt_era(era);
+    }
     if (era != era_ || !gap_free_ || paging_ || from > next_offset_ || end <= next_offset_) {
         return;
     }
--- a/unittests/gateway/record_relay_test.cpp
+++ b/unittests/gateway/record_relay_test.cpp
@@ -418,27 +418,81 @@
     }
 }
 
+/// @return the index of a VM that other VMs supply, and the address of one that supplies it.
+static std::pair<std::size_t, std::string> supplied_vm(const fleet& in)
+{
+    const auto readers = in.readers();
+    std::size_t supplied = 0;
+    while (readers.contains(supplied)) {
+        ++supplied;
+    }
+    return {supplied, fleet::address_of(*readers.begin())};
+}
+
 SCENARIO("parts of a snapshot that are malformed, or of another snapshot, change nothing")
 {
-    fleet test{2};
+    fleet test{5};
     test.order(1);
     test.store.write(1, "i-1", "ready");
     test.loop.advance(10s);
-    const std::string sender = fleet::address_of(1);
-    const auto send = [&](std::uint32_t index, std::uint32_t count, std::uint64_t end, const std::string& key) {
-        snapshot_part part{index, count, {1, true, 0, end, {{key, false, "ready", end - 1}}, 1}};
-        test.vms[0]->receiver(sender, message_kind::records_part, compress(encode(part)));
+    const auto [supplied, sender] = supplied_vm(test);
+    vm& receiving = *test.vms[supplied];
+    const auto send = [&receiving, &sender = sender](std::uint32_t index, std::uint32_t count, std::uint64_t end,
+                                                     const std::string& key) {
+        const snapshot_part part{index, count, {1, true, 0, end, {{key, false, "ready", end - 1}}, 1}};
+        receiving.receiver(sender, message_kind::records_part, compress(encode(part)));
     };
+    const std::map<std::string, std::string> before = receiving.values;
     send(0, 2, 90, "first");
     send(1, 2, 91, "of another end");
     send(0, 3, 91, "of another count");
     send(2, 2, 91, "beyond the count");
     send(0, 0, 91, "of none");
     send(0, 1U << 31U, 91, "of too many");
-    test.vms[0]->receiver(sender, message_kind::records_part, "no compressed bytes");
-    test.vms[0]->receiver(sender, message_kind::records_part, compress("\xc1"));
-    test.loop.advance(5s);
-    CHECK(test.vms[0]->values == std::map<std::string, std::string>{{"i-1", "ready"}, {"order", "1"}});
+    receiving.receiver(sender, message_kind::records_part, "no compressed bytes");
+    receiving.receiver(sender, message_kind::records_part, compress("\xc1"));
+    CHECK(receiving.values == before);
+    WHEN("all parts of one snapshot have arrived, in any order, it is applied")
+    {
+        send(1, 2, 92, "second");
+        send(0, 2, 92, "first");
+        CHECK(receiving.values.contains("first"));
+        CHECK(receiving.values.contains("second"));
+        CHECK(!receiving.values.contains("i-1"));
+    }
+}
+
+// Guards against VMs that ignore the records of VMs of an earlier version, which state no era.
+SCENARIO("records of a VM of an earlier version count as of the receiver's era")
+{
+    fleet test{5};
+    test.store.write(1, "i-1", "ready");
+    test.loop.advance(10s);
+    const auto [supplied, sender] = supplied_vm(test);
+    vm& receiving = *test.vms[supplied];
+    const std::uint64_t end = receiving.followers[1]->end();
+    const topic_update changes{1, false, end, end + 1, {{"i-2", false, "ready", end}}, 0};
+    receiving.receiver(sender, message_kind::records_topic, encode(changes));
+    CHECK(receiving.values.contains("i-2"));
+    const topic_update snapshot{1, true, 0, end + 9, {{"i-3", false, "ready", end + 8}}, 0};
+    receiving.receiver(sender, message_kind::records_topic, encode(snapshot));
+    CHECK(receiving.values.contains("i-3"));
+    CHECK(!receiving.values.contains("i-1"));
+
+    WHEN("such a VM pulls, it gets changes, and not the same snapshot again and again")
+    {
+        vm& supplying = *test.vms[test.index_of(sender)];
+        records_pull pull;
+        pull.positions = {{1, true, supplying.followers[1]->end()}};
+        pull.wants_push = true;
+        const std::size_t bytes = supplying.bytes_sent;
+        test.is_link_cut = [&test, to = supplied, from = test.index_of(sender)](std::size_t a, std::size_t b) {
+            return a != from || b != to;
+        };
+        supplying.receiver(fleet::address_of(supplied), message_kind::records_pull, encode(pull));
+        // Its state only.
+        CHECK(supplying.bytes_sent - bytes < 2 * frame_bytes);
+    }
 }
 
 SCENARIO("malformed and unsolicited messages of other VMs change nothing")
