Tell a new order from the known one if that was known without an era

Callers would see a sound version that never completes: a version is reverted and ordered again, and a VM that knew its order without an era, from a VM of an earlier version, takes the new order for the known one that was written again.

Cause: apply_rollout() compared eras for equality, while 0 means that none was stated; precedes() did so already.

Change: are_comparable() decides for both.

Evidence: the new scenario "a reverted version whose order was known without an era is rolled out again when it is ordered again" fails with the comparison as it was (1 of 6 checks). All of unit.gateway passes.

--- a/include/agatespar/gateway/fleet_records.h
+++ b/include/agatespar/gateway/fleet_records.h
@@ -29,8 +29,10 @@
     friend bool operator==(const log_position&, const log_position&) = default;
 };
 
-/// @return whether the first record is known to be older than the second. Positions of different eras don't tell; one
-/// without an era, written by a VM of an earlier version, counts as one of the other's era.
+/// @return whether the offsets of two positions can be compared: they are of one era. A position without an era, as VMs
+/// of an earlier version state it, counts as one of the other's.
+bool are_comparable(const log_position& one, const log_position& other);
+/// @return whether the first record is known to be older than the second.
 bool precedes(const log_position& one, const log_position& other);
 
 /// A server's own entry in the store.
--- a/lib/gateway/fleet_state.cpp
+++ b/lib/gateway/fleet_state.cpp
@@ -7,10 +7,14 @@
 
 namespace agatespar {
 
+bool are_comparable(const log_position& one, const log_position& other)
+{
+    return one.era == other.era || one.era == store_era{} || other.era == store_era{};
+}
+
 bool precedes(const log_position& one, const log_position& other)
 {
-    const bool comparable = one.era == other.era || one.era == store_era{} || other.era == store_era{};
-    return comparable && one.offset < other.offset;
+    return are_comparable(one, other) && one.offset < other.offset;
 }
 
 void fleet_state::apply_operator_record(const keyed_record& record, steady_time now)
@@ -78,11 +82,12 @@
         const bool is_known = watch.order().target == order->target;
         // A reverted version may be ordered again by a record of its own. The first record that is read after the store
         // was restored is the known order, which the operator may have written again at another offset.
+        const log_position known_position = watch.order().position;
         const bool is_same_record =
-            watch.order().position == order->position || watch.order().position.era != record.era;
+            !are_comparable(known_position, order->position) || known_position.offset == order->position.offset;
         if (is_known && (watch.state() != rollout_state::reverted || is_same_record)) {
             if (const auto report = reports_.find(service);
-                report != reports_.end() && report->second.order_position == watch.order().position) {
+                report != reports_.end() && report->second.order_position == known_position) {
                 report->second.order_position = order->position;
             }
             watch.set_order_position(order->position);
--- a/unittests/gateway/retired_versions_test.cpp
+++ b/unittests/gateway/retired_versions_test.cpp
@@ -398,6 +398,26 @@
     }
 }
 
+// Guards against an order that is taken for the known one, as a VM of an earlier version forwarded that without an era.
+SCENARIO("a reverted version whose order was known without an era is rolled out again when it is ordered again")
+{
+    rollout_play play{{"v1", "v2"}};
+    const keyed_record first{service.value(), "v2", 10};
+    play.vm.apply_operator_record(first, play.time.now());
+    play.report(rollout_state::reverted);
+    REQUIRE(play.vm.rollout_of(service)->state() == rollout_state::reverted);
+    keyed_record read_later = first;
+    read_later.era = store_era{1};
+    play.vm.apply_operator_record(read_later, play.time.now());
+    CHECK(play.vm.rollout_of(service)->state() == rollout_state::reverted);
+    const bool is_read_first = GENERATE(false, true);
+    if (is_read_first) {
+        play.vm.apply_operator_record(first, play.time.now());
+    }
+    play.vm.apply_operator_record({service.value(), "v2", 12, store_era{1}}, play.time.now());
+    CHECK(play.vm.rollout_of(service)->state() == rollout_state::in_progress);
+}
+
 SCENARIO("the list of retired versions is bounded")
 {
     std::vector<version_name> retired;
